--- /dev/null
+++ b/src/main/java/laurelkeel/benchlink/BenchLink.java
@@ -0,0 +1,282 @@
+package laurelkeel.benchlink;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import laurelkeel.api.Action;
+import laurelkeel.api.Decider;
+import laurelkeel.api.Event;
+import laurelkeel.api.Event.Answer;
+import laurelkeel.api.Event.ListKind;
+import laurelkeel.api.Event.Listed;
+import laurelkeel.api.Event.MachineState;
+import laurelkeel.api.Event.Outcome;
+import laurelkeel.api.Event.Phase;
+import laurelkeel.api.Settings;
+
+/** Hosts one decider a front and speaks the wire cedar-a60e for them. It decides nothing. */
+public final class BenchLink {
+    private static final Map<String, Outcome> OUTCOMES = Map.of("OK", Outcome.COMPLETED, "INTERNAL", Outcome.ERROR,
+            "RESOURCE_EXHAUSTED", Outcome.FULL, "DEADLINE_EXCEEDED", Outcome.TIMEOUT, "UNAVAILABLE",
+            Outcome.NO_CONNECTION, "ABORTED", Outcome.BROKEN, "CANCELLED", Outcome.STOPPED, "TOO_LATE",
+            Outcome.NOT_SENT);
+    private static final Map<String, Answer> ANSWERS = Map.of("OK", Answer.OK, "TOO_LATE", Answer.MOOT,
+            "RESOURCE_EXHAUSTED", Answer.OVER_LIMIT, "INTERNAL", Answer.ERROR, "DEADLINE_EXCEEDED", Answer.TIMEOUT);
+    private static final Map<String, ListKind> LISTS = Map.of("D", ListKind.CHANGES, "F", ListKind.FULL, "C",
+            ListKind.REMEMBERED, "X", ListKind.FAILED);
+    private static final Map<String, MachineState> STATES = Map.of("live", MachineState.LIVE, "quiescing",
+            MachineState.DRAINING, "dead", MachineState.GONE);
+
+    private final Decider.Maker maker;
+    private final Map<Integer, Decider> fronts = new HashMap<>();
+    private final Map<Integer, List<Listed>> lists = new HashMap<>();
+    private BufferedReader in;
+    private long line;
+
+    public BenchLink(Decider.Maker maker) {
+        this.maker = maker;
+    }
+
+    /** Answers batches until the input ends. */
+    public void run(InputStream from, OutputStream to) throws IOException {
+        in = new BufferedReader(new InputStreamReader(from, StandardCharsets.UTF_8), 1 << 16);
+        Writer out = new BufferedWriter(new OutputStreamWriter(to, StandardCharsets.UTF_8), 1 << 16);
+        for (Fields f = next(); f != null; f = next()) {
+            if (!f.name().equals("round")) {
+                throw f.bad("round", "a batch begins with it");
+            }
+            f.expect(2);
+            long now = f.time("clock");
+            answer(now, f.whole("number"), out);
+            out.flush();
+        }
+    }
+
+    private Fields next() throws IOException {
+        String text = in.readLine();
+        while (text != null && text.isEmpty()) {
+            line++;
+            text = in.readLine();
+        }
+        line++;
+        return text == null ? null : new Fields(line, text);
+    }
+
+    private Fields inside() throws IOException {
+        Fields f = next();
+        if (f == null) {
+            throw new Malformed(line, "commit", "the input ends within a batch");
+        }
+        return f;
+    }
+
+    private void answer(long now, long number, Writer out) throws IOException {
+        Map<Integer, List<Event>> news = new LinkedHashMap<>();
+        Map<Integer, String> broken = new HashMap<>();
+        for (Fields f = inside(); !f.name().equals("commit"); f = inside()) {
+            switch (f.name()) {
+                case "pool" -> pool(f);
+                case "create" -> {
+                    int front = f.small("front");
+                    long seed = f.whole("rngSeed");
+                    Settings settings = Options.settings(f, f.pairs("options"));
+                    news.put(front, new ArrayList<>());
+                    try {
+                        fronts.put(front, maker.make(settings, seed));
+                    } catch (RuntimeException e) {
+                        broken.put(front, told(front, e));
+                    }
+                }
+                case "detach" -> {
+                    f.expect(1);
+                    int front = f.small("front");
+                    fronts.remove(front);
+                    news.remove(front);
+                }
+                default -> {
+                    int front = f.small("front");
+                    Event e = event(f);
+                    if (!fronts.containsKey(front) && !broken.containsKey(front)) {
+                        throw f.bad("front", "front " + front + " was not created");
+                    }
+                    news.computeIfAbsent(front, k -> new ArrayList<>()).add(e);
+                }
+            }
+        }
+        for (Map.Entry<Integer, List<Event>> e : news.entrySet()) {
+            int front = e.getKey();
+            if (!broken.containsKey(front)) {
+                try {
+                    for (Action a : fronts.get(front).decide(now, e.getValue())) {
+                        write(out, front, a);
+                    }
+                } catch (RuntimeException failure) {
+                    broken.put(front, told(front, failure));
+                }
+            }
+            if (broken.containsKey(front)) {
+                out.write("fault " + front + " " + broken.get(front) + "\n");
+            }
+        }
+        out.write("ack " + number + "\n");
+    }
+
+    private static String told(int front, RuntimeException e) {
+        System.err.println("front " + front + ":");
+        e.printStackTrace();
+        return e.toString().replaceAll("\\s+", " ");
+    }
+
+    private void pool(Fields f) throws IOException {
+        f.expect(2);
+        int slot = f.small("slot");
+        int count = f.small("lines");
+        List<Listed> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Fields e = inside();
+            if (!e.name().equals("item")) {
+                throw e.bad("item", "the list is short");
+            }
+            e.expect(8);
+            int build = (int) e.number("build", 0);
+            int cell = e.small("pod", 0);
+            int kind = e.small("kind", 0);
+            int zone = e.small("campus", 0);
+            double size = e.number("nominal", 1);
+            MachineState state = e.oneOf("status", STATES);
+            long started = e.time("since");
+            entries.add(new Listed(e.text("machine"), build, zone, cell, kind, size, state, started));
+        }
+        lists.put(slot, entries);
+    }
+
+    private Event event(Fields f) {
+        switch (f.name()) {
+            case "membership" -> {
+                f.expect(4);
+                ListKind kind = f.oneOf("how", LISTS);
+                int slot = f.small("slot", -1);
+                if (kind == ListKind.FAILED) {
+                    return new Event.MachineList(kind, List.of());
+                }
+                if (!lists.containsKey(slot)) {
+                    throw f.bad("slot", "list " + slot + " was not given");
+                }
+                return new Event.MachineList(kind, lists.get(slot));
+            }
+            case "incoming" -> {
+                f.expect(9);
+                String id = f.text("opId");
+                int route = f.small("qos");
+                int customer = f.small("clientGroup", 0);
+                String key = f.optionalText("partitionKey");
+                return new Event.Req(id, route, customer, key, f.time("notAfter"), f.number("expected", 0),
+                        f.flag("resent"));
+            }
+            case "under_way" -> {
+                f.expect(5);
+                String id = f.text("opId");
+                f.time("lag");
+                return new Event.AnswerBegun(id, f.small("sendNo"));
+            }
+            case "returned" -> {
+                f.expect(8);
+                return new Event.TryEnded(f.text("opId"), f.small("sendNo"), f.text("machine"),
+                        f.oneOf("status", OUTCOMES), f.time("lag"), f.flag("ended"), f.load("gauge"));
+            }
+            case "withdrawn" -> {
+                f.expect(2);
+                return new Event.ClientLeft(f.text("opId"));
+            }
+            case "ring" -> {
+                f.expect(2);
+                return new Event.TimerDue(f.whole("handle"));
+            }
+            case "pong" -> {
+                f.expect(5);
+                return new Event.Probed(f.text("machine"), f.oneOf("status", OUTCOMES), f.time("lag"),
+                        f.load("gauge"));
+            }
+            case "note_from" -> {
+                f.expect(3);
+                return new Event.Note(f.small("from"), f.bytes("bytes"));
+            }
+            case "release_state" -> {
+                f.expect(8);
+                Answer answer = f.oneOf("status", ANSWERS);
+                int stage = f.small("tranche", 0);
+                double cap = f.number("ceiling", 0);
+                long age = f.time("since");
+                int phase = f.small("whereAt", 0);
+                if (phase < 0 || phase >= Phase.values().length) {
+                    throw f.bad("whereAt", phase + " is unknown");
+                }
+                int build = f.small("build", 0);
+                return new Event.ReleaseNews(answer, stage, cap, age, Phase.values()[phase], build, f.flag("sense"));
+            }
+            case "counts_by_build" -> {
+                f.expect(7);
+                return new Event.BuildCounts(f.small("build"), f.small("qos"), f.whole("count"), f.whole("errors"),
+                        f.time("lag"), f.time("since"));
+            }
+            case "contested" -> {
+                f.expect(4);
+                return new Event.Complaint(f.text("machine"), f.time("since"), f.small("qos", 0));
+            }
+            default -> throw f.bad(f.name(), "is no message of the wire");
+        }
+    }
+
+    private static void write(Writer out, int front, Action a) throws IOException {
+        String head;
+        if (a instanceof Action.Send s) {
+            head = "hand_off " + front + " " + s.req() + " " + s.machine() + " " + ms(s.within());
+        } else if (a instanceof Action.StopTry s) {
+            head = "stop_attempt " + front + " " + s.req() + " " + s.tryNo();
+        } else if (a instanceof Action.Shed s) {
+            head = "deny " + front + " " + s.req() + " " + ms(s.retryAfter());
+        } else if (a instanceof Action.Err s) {
+            head = "lose " + front + " " + s.req();
+        } else if (a instanceof Action.Timer s) {
+            head = "after " + front + " " + ms(s.when()) + " " + s.handle();
+        } else if (a instanceof Action.Probe s) {
+            head = "ask_load " + front + " " + s.machine();
+        } else if (a instanceof Action.CloseIdle s) {
+            head = "disconnect " + front + " " + s.machine();
+        } else if (a instanceof Action.Tell s) {
+            String to = s.to() < 0 ? "all" : Integer.toString(s.to());
+            String hex = s.bytes().length == 0 ? "-" : HexFormat.of().formatHex(s.bytes());
+            head = "notify " + front + " " + to + " " + hex;
+        } else if (a instanceof Action.WatchList s) {
+            head = "watch " + front + " " + (s.on() ? 1 : 0);
+        } else if (a instanceof Action.FetchList) {
+            head = "query_all " + front;
+        } else if (a instanceof Action.Vote s) {
+            head = "say_so " + front + " " + s.build() + " " + s.stage() + " " + s.verdict().ordinal();
+        } else if (a instanceof Action.Log s) {
+            head = "print " + front + " " + s.text();
+        } else {
+            throw new IllegalStateException("an action the wire lacks: " + a);
+        }
+        out.write(head);
+        out.write('\n');
+    }
+
+    private static String ms(long tenths) {
+        long whole = tenths / 10;
+        long rest = Math.abs(tenths % 10);
+        return (tenths < 0 && whole == 0 ? "-0" : Long.toString(whole)) + "." + rest;
+    }
+}
--- /dev/null
+++ b/src/main/java/laurelkeel/benchlink/Options.java
@@ -0,0 +1,108 @@
+package laurelkeel.benchlink;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
+import laurelkeel.api.Settings;
+import laurelkeel.api.Settings.Allowed;
+import laurelkeel.api.Settings.Control;
+import laurelkeel.api.Settings.Customer;
+import laurelkeel.api.Settings.Effect;
+import laurelkeel.api.Settings.Group;
+import laurelkeel.api.Settings.Limits;
+import laurelkeel.api.Settings.Prices;
+import laurelkeel.api.Settings.Rollout;
+import laurelkeel.api.Settings.Route;
+
+/** The wire's options as settings. Keys that the wire may leave out read as 0, off or none. */
+final class Options {
+    private static final Map<String, Effect> EFFECTS =
+            Map.of("safe", Effect.RETRIABLE, "keyed", Effect.DEDUPED, "unsafe", Effect.NON_RETRIABLE);
+    private static final Map<String, Control> CONTROLS =
+            Map.of("first_voice", Control.ANY, "by_count", Control.COUNT, "automatic", Control.CLOCK);
+    private static final Map<String, Boolean> BOOLS = Map.of("true", true, "1", true, "false", false, "0", false);
+    private static final Map<String, Boolean> ASKED = Map.of("push", false, "ask", true);
+    private static final Map<String, Boolean> PER_ROUTE = Map.of("all", false, "each_class", true);
+    private static final Map<String, Boolean> BY_WORK = Map.of("request", false, "work", true);
+    private static final Map<String, Group> GROUPS =
+            Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL);
+
+    private final Fields at;
+    private final Map<String, String> pairs;
+
+    private Options(Fields at, Map<String, String> pairs) {
+        this.at = at;
+        this.pairs = pairs;
+    }
+
+    static Settings settings(Fields at, Map<String, String> pairs) {
+        return new Options(at, pairs).settings();
+    }
+
+    private <T> T get(String path, String absent, String what, Function<String, T> parse) {
+        String s = pairs.getOrDefault(path, absent);
+        try {
+            T t = parse.apply(s);
+            if (t != null) {
+                return t;
+            }
+        } catch (RuntimeException e) {
+            throw at.bad(path, "'" + s + "' is no " + what);
+        }
+        throw at.bad(path, "'" + s + "' is unknown");
+    }
+
+    private double number(String path) {
+        return get(path, "0", "number", Fields::finite);
+    }
+
+    private long time(String path) {
+        return Fields.tenths(number(path));
+    }
+
+    private int whole(String path) {
+        return get(path, "0", "whole number", s -> (int) Math.round(Fields.finite(s)));
+    }
+
+    private boolean on(String path) {
+        return get(path, "false", "bool", s -> BOOLS.get(s.toLowerCase(Locale.ROOT)));
+    }
+
+    private List<Double> numbers(String path) {
+        return get(path, "", "list of numbers", s -> s.isEmpty() ? List.of()
+                : Arrays.stream(s.split(",")).map(Fields::finite).toList());
+    }
+
+    private Settings settings() {
+        List<Route> routes = new ArrayList<>();
+        for (int i = 0; i < whole("services.count"); i++) {
+            String p = "services." + i + ".";
+            routes.add(new Route(get(p + "effect", "", "effect", EFFECTS::get),
+                    get(p + "dedupScope", "all", "group", GROUPS::get), time(p + "onTime"), time(p + "deadline"),
+                    number(p + "points"), number(p + "lateValue"), time(p + "repeatWindow")));
+        }
+        List<Customer> customers = new ArrayList<>();
+        for (int i = 0; i < whole("orgs.count"); i++) {
+            customers.add(new Customer(number("orgs." + i + ".quotaRps")));
+        }
+        String r = "familyInfo.";
+        return new Settings(whole("selfIndex"), whole("balancers"), whole("zone"), routes, customers,
+                new Limits(time("rules.drainGrace"), time("rules.cold"), number("rules.coldFrom"),
+                        time("rules.tipAfter"), number("rules.tipMultiple"), time("rules.askWithin")),
+                new Allowed(whole("allowed.maxAttempts"), on("allowed.mayProbe"), on("allowed.mayTell"),
+                        on("allowed.cancel"), on("allowed.parallelTries"), on("allowed.retryAfter"),
+                        time("allowed.maxRetryAfter"), get("membershipMode", "push", "mode", ASKED::get)),
+                new Prices(number("prices.crossZone"), number("prices.probe"), number("prices.peer"),
+                        number(r + "staleBuildPrice"), number(r + "damagePrice")),
+                new Rollout(get(r + "gateMode", "first_voice", "mode", CONTROLS::get), whole(r + "votesToGo"),
+                        whole(r + "noesNeeded"), whole(r + "toPause"), time(r + "voteTtl"), time(r + "callTimeout"),
+                        number(r + "votesPerS"), numbers(r + "stageCap"), time(r + "leastStage"),
+                        whole(r + "guardedStages"), on(r + "keysStay"), time(r + "countedOver"),
+                        number(r + "uncounted"), get(r + "capScope", "all", "scope", PER_ROUTE::get),
+                        time(r + "tally"), number(r + "complaintShare")),
+                get("valueBy", "request", "way", BY_WORK::get));
+    }
+}
--- /dev/null
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -0,0 +1,841 @@
+package laurelkeel.decision;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.zip.CRC32;
+import laurelkeel.api.Action;
+import laurelkeel.api.Action.Verdict;
+import laurelkeel.api.Decider;
+import laurelkeel.api.Event;
+import laurelkeel.api.Event.Answer;
+import laurelkeel.api.Event.ListKind;
+import laurelkeel.api.Event.Listed;
+import laurelkeel.api.Event.MachineState;
+import laurelkeel.api.Event.Outcome;
+import laurelkeel.api.Event.Phase;
+import laurelkeel.api.Settings;
+import laurelkeel.api.Settings.Control;
+import laurelkeel.api.Settings.Effect;
+import laurelkeel.api.Settings.Group;
+import laurelkeel.api.Settings.Route;
+
+/**
+ * All decisions of one front: which build and machine each req goes to, when it is tried again or given up,
+ * and how the front votes on a rollout.
+ *
+ * <p>Callers make one Shifter a front (Decider.Maker) and call decide with the present moment and everything
+ * learned since; the actions that come back take effect at that moment, in order. The interface is the package
+ * laurelkeel.api: Event in, Action out, Settings at the start. Nothing is shared between instances; the only
+ * clock is the caller's, in tenths of a millisecond. The mechanism is explained in docs/design.md.
+ */
+public final class Shifter implements Decider {
+    private static final long SECOND = 10_000;
+
+    // ---- tuned values; docs/design.md says what each was tried against
+    private static final double TARGET = 0.8;
+    private static final double RESERVE = 0.15;
+    private static final double RAMP = 1.25;
+    private static final int MOST_PINS = 200_000;
+    private static final long READY = 3 * SECOND;
+    private static final int VOTERS = 3;
+    private static final double MARGIN = 0.02;
+    private static final double SURE = 3.0;
+    private static final int LEAST = 20;
+    private static final int LEAST_FAILS = 3;
+    private static final double SLOWER = 1.5;
+    private static final long MEMORY = 30 * SECOND;
+    private static final long TICK = SECOND / 10;
+    private static final long LAST_CALL = 150;
+    private static final long WINDOW_EDGE = 60;
+    private static final double RETRY_RATE = 0.2;
+    private static final double RETRY_MOST = 10;
+    private static final double CROSS = 8;
+    private static final double PILE = 1.3;
+    private static final double COLD_USE = 0.7;
+
+    /** One upstream try. */
+    private static final class Try {
+        final int no;
+        final Machine to;
+        final int build;
+        final long sentAt;
+        final boolean settled;
+        boolean stopped;
+
+        Try(int no, Machine to, long sentAt, boolean settled) {
+            this.no = no;
+            this.to = to;
+            this.build = to.build;
+            this.sentAt = sentAt;
+            this.settled = settled;
+        }
+    }
+
+    /** One req this front has taken. */
+    private static final class Rq {
+        final Event.Req is;
+        final long takenAt;
+        final double fraction;
+        final long endBy;
+        int tries;
+        Try out;
+        Try firstMayHaveRun;
+        boolean keptOffTrial;
+        Set<Machine> met = Set.of();
+        // wanted
+        Machine want;
+        long within;
+        boolean wantEnd;
+        boolean ended;
+
+        Rq(Event.Req is, long takenAt, double fraction) {
+            this.is = is;
+            this.takenAt = takenAt;
+            this.fraction = fraction;
+            this.endBy = is.clientLeaves() - LAST_CALL;
+        }
+    }
+
+    /** One machine, as long as the list names it. */
+    private static final class Machine {
+        final String id;
+        int build;
+        int zone;
+        int cell;
+        double size;
+        long started;
+        boolean live;
+        int open;
+        double credit;
+        double pace = 1;
+        int strikes;
+        long outUntil;
+        long fullUntil;
+        double others;
+        final ArrayDeque<Long> sends = new ArrayDeque<>();
+
+        Machine(String id) {
+            this.id = id;
+        }
+    }
+
+    /** What one build did on one route in one second. */
+    private static final class Cell {
+        int tries;
+        int fails;
+        int complaints;
+        int timed;
+        double time;
+
+        void add(Cell o) {
+            tries += o.tries;
+            fails += o.fails;
+            complaints += o.complaints;
+            timed += o.timed;
+            time += o.time;
+        }
+    }
+
+    private record Alarm(long at, long order, Rq rq) { }
+
+    // ---- the instance's own
+    private final Settings set;
+    private final byte[] seed;
+    private long draws;
+    private long now;
+    private final Map<String, Rq> reqs = new HashMap<>();
+    private final Map<String, Machine> machines = new TreeMap<>();
+    private final LinkedHashSet<Rq> touched = new LinkedHashSet<>();
+    private final PriorityQueue<Alarm> alarms =
+            new PriorityQueue<>(Comparator.comparingLong(Alarm::at).thenComparingLong(Alarm::order));
+    private long alarmCount;
+    private long armedFor = Long.MAX_VALUE;
+    private long nextTick;
+    private final double[] typical;
+    private final double[] spread;
+    private double retryTokens = RETRY_MOST;
+    private double places;
+
+    // the trial
+    private int newsBuild = -1;
+    private Phase phase = Phase.WITHDRAWN;
+    private int stage;
+    private double cap;
+    private long stageSince;
+    private int trial = -1;
+    private int base = -1;
+    private double baseAtStart;
+    private double threshold;
+    private final Set<String> pins = new HashSet<>();
+    private final Set<Integer> takenOff = new HashSet<>();
+    private final List<ArrayDeque<Long>> taken = new ArrayList<>();
+    private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
+    private final TreeMap<Long, Map<Integer, Cell[]>> seconds = new TreeMap<>();
+
+    // the vote
+    private Action.Vote stands;
+    private Action.Vote asked;
+    private long askedAt = Long.MIN_VALUE / 2;
+    private long stoodAt;
+
+    // the list
+    private boolean watching;
+    private boolean listAsked;
+    private long listAskAt;
+    private long listPause = SECOND / 2;
+
+    private final List<Action> out = new ArrayList<>();
+
+    public Shifter(Settings settings, long seed) {
+        this.set = settings;
+        this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
+        int routes = settings.routes().size();
+        typical = new double[routes];
+        spread = new double[routes];
+        for (int i = 0; i < routes; i++) {
+            typical[i] = settings.routes().get(i).objective() / 5.0;
+            spread[i] = typical[i] / 2;
+            taken.add(new ArrayDeque<>());
+            exposed.add(new ArrayDeque<>());
+        }
+    }
+
+    @Override
+    public List<Action> decide(long moment, List<Event> events) {
+        now = moment;
+        out.clear();
+        for (Event e : events) {
+            learn(e);
+        }
+        findBuilds();
+        while (!alarms.isEmpty() && alarms.peek().at <= now) {
+            touch(alarms.poll().rq);
+        }
+        if (now >= nextTick) {
+            nextTick = now + TICK;
+            tidy();
+            raiseThreshold();
+        }
+        for (Rq rq : List.copyOf(touched)) {
+            place(rq);
+        }
+        emit(wantedVote());
+        return List.copyOf(out);
+    }
+
+    private void learn(Event e) {
+        if (e instanceof Event.Req r) {
+            take(r);
+        } else if (e instanceof Event.TryEnded t) {
+            tryEnded(t);
+        } else if (e instanceof Event.ClientLeft c) {
+            Rq rq = reqs.get(c.req());
+            if (rq != null) {
+                rq.ended = true;
+                touch(rq);
+            }
+        } else if (e instanceof Event.MachineList l) {
+            readList(l);
+        } else if (e instanceof Event.ReleaseNews n) {
+            readNews(n);
+        } else if (e instanceof Event.Complaint c) {
+            Machine m = machines.get(c.machine());
+            if (m != null) {
+                cell(now - c.sentAgo(), m.build, c.route()).complaints++;
+            }
+        } else if (e instanceof Event.TimerDue) {
+            armedFor = Long.MAX_VALUE;
+        }
+    }
+
+    // ---- the list
+
+    private void readList(Event.MachineList l) {
+        if (l.kind() == ListKind.FAILED) {
+            watching = false;
+            listAsked = false;
+            listAskAt = now + listPause;
+            listPause = Math.min(listPause * 2, 4 * SECOND);
+            return;
+        }
+        if (l.kind() != ListKind.REMEMBERED) {
+            listPause = SECOND / 2;
+            if (listAsked) {
+                listAsked = false;
+                watching = true;
+                listAskAt = now + set.limits().askWithin() / 2;
+            }
+        }
+        Set<String> named = new HashSet<>();
+        for (Listed i : l.machines()) {
+            named.add(i.machine());
+            Machine m = machines.computeIfAbsent(i.machine(), Machine::new);
+            if (m.started != i.started() || m.build != i.build()) {
+                m.strikes = 0;
+                m.outUntil = 0;
+                m.fullUntil = 0;
+                m.pace = 1;
+                m.others = 0;
+            }
+            m.build = i.build();
+            m.zone = i.zone();
+            m.cell = i.cell();
+            m.size = Math.max(i.size(), 1e-3);
+            m.started = i.started();
+            m.live = i.state() == MachineState.LIVE;
+        }
+        if (l.kind() != ListKind.CHANGES) {
+            for (Machine m : machines.values()) {
+                m.live &= named.contains(m.id);
+            }
+        }
+        machines.values().removeIf(m -> !m.live && m.open == 0 && !named.contains(m.id));
+    }
+
+    private void readNews(Event.ReleaseNews n) {
+        if (n.toVote() && asked != null) {
+            if (n.answer() == Answer.OK) {
+                stands = asked;
+                stoodAt = askedAt;
+            }
+            asked = null;
+        }
+        if (n.answer() != Answer.OK || n.build() < newsBuild) {
+            return;
+        }
+        if (n.build() != newsBuild || n.stage() != stage || n.phase() != phase) {
+            stageSince = now - n.age();
+            out.add(new Action.Log("build " + n.build() + " stage " + n.stage() + " " + n.phase()));
+        }
+        newsBuild = n.build();
+        stage = n.stage();
+        phase = n.phase();
+        cap = n.cap();
+        if (phase == Phase.GOING_BACK || phase == Phase.WITHDRAWN) {
+            takenOff.add(newsBuild);
+        }
+    }
+
+    private double warmth(Machine m) {
+        double share = m.started == 0 ? 1 : Math.min(1, (now - m.started) / (double) set.limits().coldFor());
+        return set.limits().coldFrom() + (1 - set.limits().coldFrom()) * Math.max(0, share);
+    }
+
+    private double warmSize(int build) {
+        double sum = 0;
+        for (Machine m : machines.values()) {
+            sum += m.live && m.build == build ? m.size * warmth(m) : 0;
+        }
+        return sum;
+    }
+
+    private boolean hasLive(int build) {
+        return machines.values().stream().anyMatch(m -> m.live && m.build == build);
+    }
+
+    /** Which build is on trial and which is the earlier one; a build the news does not name yet is on trial. */
+    private void findBuilds() {
+        int newest = newsBuild;
+        for (Machine m : machines.values()) {
+            newest = m.live ? Math.max(newest, m.build) : newest;
+        }
+        int onTrial = phase == Phase.TRIAL ? newsBuild : newest > newsBuild && newsBuild >= 0 ? newest : -1;
+        int earlier = -1;
+        if (phase == Phase.RELEASED) {
+            earlier = newsBuild;
+        } else {
+            double most = 0;
+            for (Machine m : machines.values()) {
+                boolean open = m.live && (newsBuild < 0 || m.build < newsBuild) && !takenOff.contains(m.build);
+                if (open && warmSize(m.build) > most) {
+                    most = warmSize(m.build);
+                    earlier = m.build;
+                }
+            }
+            earlier = earlier < 0 ? base : earlier;
+        }
+        if (onTrial != trial) {
+            trial = onTrial;
+            threshold = 0;
+            baseAtStart = 0;
+            pins.clear();
+            exposed.forEach(ArrayDeque::clear);
+        }
+        base = earlier;
+        double all = 0;
+        for (Machine m : machines.values()) {
+            all += m.live ? m.size : 0;
+        }
+        places = Math.max(all, places * 0.9999);
+        baseAtStart = Math.max(baseAtStart, warmSize(base));
+    }
+
+    // ---- exposure
+
+    private double trialCap() {
+        return trial > newsBuild ? set.rollout().stageCaps().get(0) : cap;
+    }
+
+    private int trialStage() {
+        return trial > newsBuild ? 0 : stage;
+    }
+
+    private static double fractionOf(String key, int build) {
+        CRC32 crc = new CRC32();
+        crc.update((build + "/" + key).getBytes(StandardCharsets.US_ASCII));
+        // CRC32 is linear: without this mixing one build's slice of keys would decide the next one's
+        long h = (crc.getValue() ^ (long) build << 32) * 0x9E3779B97F4A7C15L;
+        h = (h ^ h >>> 32) * 0xD6E8FEB86659FD93L;
+        h = (h ^ h >>> 29) * 0x9E3779B97F4A7C15L;
+        return (h >>> 11) * 0x1.0p-53;
+    }
+
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update(seed);
+        crc.update(Long.toString(draws++).getBytes(StandardCharsets.US_ASCII));
+        return (crc.getValue() * 0x9E3779B97F4A7C15L >>> 11) * 0x1.0p-53;
+    }
+
+    private void raiseThreshold() {
+        if (trial < 0) {
+            return;
+        }
+        double on = warmSize(trial);
+        double off = warmSize(base);
+        double target = Math.min(TARGET * trialCap(), RAMP * on / Math.max(baseAtStart, 1e-9));
+        if (off < (1 - TARGET * trialCap()) * baseAtStart) {
+            target = Math.max(target, Math.min(trialCap(), on / (on + off)));
+        }
+        threshold = Math.max(threshold, target);
+    }
+
+    private int scope(int route) {
+        return set.rollout().perRoute() ? route : 0;
+    }
+
+    private boolean trialOpen(Rq rq, boolean pinned) {
+        Route route = set.routes().get(rq.is.route());
+        if (trialCap() <= 0 || trialStage() < set.rollout().guardedStages() && route.effect() != Effect.RETRIABLE) {
+            return false;
+        }
+        int s = scope(rq.is.route());
+        long window = set.rollout().window();
+        int tries = countSince(exposed.get(s), now - window - WINDOW_EDGE);
+        double share = trialCap() * countSince(taken.get(s), now - window + WINDOW_EDGE);
+        double reserve = pinned ? 0 : RESERVE * share;
+        return tries + 1 + reserve <= set.rollout().free() + share;
+    }
+
+    private static int countSince(ArrayDeque<Long> times, long from) {
+        int n = 0;
+        for (var i = times.descendingIterator(); i.hasNext() && i.next() >= from;) {
+            n++;
+        }
+        return n;
+    }
+
+    // ---- reqs
+
+    private void touch(Rq rq) {
+        touched.add(rq);
+    }
+
+    private void alarm(Rq rq, long at) {
+        alarms.add(new Alarm(Math.max(at, now + 1), alarmCount++, rq));
+    }
+
+    private void take(Event.Req r) {
+        taken.get(scope(r.route())).addLast(now);
+        retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
+        Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
+        reqs.put(r.id(), rq);
+        alarm(rq, rq.endBy);
+        touch(rq);
+    }
+
+    private void tryEnded(Event.TryEnded t) {
+        Rq rq = reqs.get(t.req());
+        if (rq == null || rq.out == null || rq.out.no != t.tryNo()) {
+            return;
+        }
+        Try was = rq.out;
+        rq.out = null;
+        was.to.open--;
+        rq.ended |= t.reqOver();
+        boolean neverRan = t.outcome() == Outcome.FULL || t.outcome() == Outcome.NO_CONNECTION
+                || t.outcome() == Outcome.NOT_SENT;
+        if (!neverRan && rq.firstMayHaveRun == null) {
+            rq.firstMayHaveRun = was;
+        }
+        Double inHand = t.load().get("concurrent");
+        if (inHand != null) {
+            was.to.others = Math.max(0, inHand - was.to.open - 1);
+        }
+        judgeMachine(was, t, rq);
+        judgeBuild(was, t, rq);
+        if (t.outcome() == Outcome.COMPLETED) {
+            if (was.build == trial && rq.is.key() != null && set.rollout().keysStay()) {
+                pins.add(rq.is.key());
+            }
+        } else {
+            rq.keptOffTrial |= was.build == trial;
+            rq.met = new HashSet<>(rq.met);
+            rq.met.add(was.to);
+        }
+        touch(rq);
+    }
+
+    private void judgeMachine(Try was, Event.TryEnded t, Rq rq) {
+        Machine m = was.to;
+        if (m.build != was.build || m.started > was.sentAt) {
+            return;
+        }
+        int r = rq.is.route();
+        switch (t.outcome()) {
+            case COMPLETED -> {
+                m.strikes = 0;
+                m.outUntil = 0;
+                double ratio = Math.min(4, t.took() / Math.max(1, typical[r]));
+                m.pace += (ratio - m.pace) * 0.05;
+                spread[r] += (Math.abs(t.took() - typical[r]) - spread[r]) * 0.02;
+                typical[r] += (t.took() - typical[r]) * 0.02;
+            }
+            case TIMEOUT, BROKEN, NO_CONNECTION -> {
+                if (t.outcome() != Outcome.TIMEOUT || now < rq.endBy) {
+                    m.strikes++;
+                    m.outUntil = m.strikes < 2 ? 0
+                            : now + Math.min(4 * SECOND, SECOND / 2 << Math.min(4, m.strikes - 2));
+                }
+            }
+            case FULL -> m.fullUntil = now + SECOND / 5;
+            default -> { }
+        }
+    }
+
+    private boolean mayResend(Rq rq) {
+        if (rq.tries >= set.allowed().tries()) {
+            return false;
+        }
+        Route route = set.routes().get(rq.is.route());
+        return rq.firstMayHaveRun == null || route.effect() == Effect.RETRIABLE
+                || route.effect() == Effect.DEDUPED && inWindow(rq, route);
+    }
+
+    private boolean inWindow(Rq rq, Route route) {
+        return now + TICK < rq.firstMayHaveRun.sentAt + route.repeatWindow();
+    }
+
+    private boolean sameGroup(Rq rq, Machine m) {
+        Route route = set.routes().get(rq.is.route());
+        if (rq.firstMayHaveRun == null || route.effect() != Effect.DEDUPED || route.group() == Group.ALL) {
+            return true;
+        }
+        Machine first = rq.firstMayHaveRun.to;
+        return route.group() == Group.ZONE ? first.zone == m.zone : first.cell == m.cell;
+    }
+
+    private boolean shedAllowed(Rq rq) {
+        Route route = set.routes().get(rq.is.route());
+        Try first = rq.firstMayHaveRun == null ? rq.out : rq.firstMayHaveRun;
+        return first == null || route.effect() == Effect.RETRIABLE || route.effect() == Effect.DEDUPED
+                && route.group() == Group.ALL && now + TICK < first.sentAt + route.repeatWindow();
+    }
+
+    /** Sets what is wanted for one req: a send, an end, or to go on waiting. */
+    private void place(Rq rq) {
+        if (rq.ended || rq.wantEnd) {
+            return;
+        }
+        if (now >= rq.endBy) {
+            rq.wantEnd = true;
+        } else if (rq.out == null) {
+            boolean again = rq.firstMayHaveRun != null;
+            boolean may = mayResend(rq) && (!again || retryTokens >= 1);
+            rq.want = may ? choose(rq) : null;
+            rq.wantEnd = rq.want == null;
+            if (rq.want != null) {
+                retryTokens -= again ? 1 : 0;
+                rq.within = limit(rq);
+                send(rq);
+            }
+        }
+    }
+
+    private Machine choose(Rq rq) {
+        boolean pinned = rq.is.key() != null && pins.contains(rq.is.key());
+        if (pinned) {
+            return trialOpen(rq, true) ? pick(trial, rq) : null;
+        }
+        double at = rq.fraction >= 0 ? rq.fraction : fractionOf(rq.is.key(), trial);
+        boolean room = trial >= 0 && pins.size() < MOST_PINS && trialOpen(rq, false);
+        Machine m = null;
+        if (room && at < threshold && !rq.keptOffTrial) {
+            m = pick(trial, rq);
+        }
+        m = m == null ? pick(base, rq) : m;
+        // with no machine of the earlier build left, what the cap allows goes to the trial build
+        return m == null && room ? pick(trial, rq) : m;
+    }
+
+    private Machine pick(int build, Rq rq) {
+        List<Machine> in = new ArrayList<>();
+        List<Machine> struck = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            if (!m.live || m.build != build || !sameGroup(rq, m) || coldFull(m)) {
+                continue;
+            }
+            boolean sick = m.strikes >= 2 && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
+            (sick || rq.met.contains(m) ? struck : in).add(m);
+        }
+        // suspicion alone never empties the rotation
+        List<Machine> from = in.isEmpty() ? struck : in;
+        double least = Double.MAX_VALUE;
+        double sum = 0;
+        for (Machine m : from) {
+            least = Math.min(least, strain(m));
+            m.credit += weight(m);
+            sum += weight(m);
+        }
+        Machine best = null;
+        for (Machine m : from) {
+            if (strain(m) <= least * PILE && (best == null || m.credit > best.credit)) {
+                best = m;
+            }
+        }
+        if (best != null) {
+            best.credit -= sum;
+        }
+        return best;
+    }
+
+    private double weight(Machine m) {
+        return m.size * warmth(m) / Math.max(0.4, Math.min(3, m.pace));
+    }
+
+    private double strain(Machine m) {
+        double far = m.zone == set.zone() ? 1 : 1 + CROSS * set.prices().crossZone();
+        return (m.open + m.others + 1) / weight(m) * far;
+    }
+
+    private boolean coldFull(Machine m) {
+        if (m.started == 0 || now - m.started >= set.limits().coldFor() + SECOND) {
+            return false;
+        }
+        long window = set.limits().tipAfter();
+        long all = 0;
+        for (ArrayDeque<Long> t : taken) {
+            all += countSince(t, now - window);
+        }
+        double usual = all * m.size / Math.max(places, 1e-9);
+        double most = 2 + COLD_USE * set.limits().tipMultiple() * warmth(m) * usual;
+        return countSince(m.sends, now - window) + 1 > most;
+    }
+
+    private long limit(Rq rq) {
+        Route route = set.routes().get(rq.is.route());
+        int r = rq.is.route();
+        long left = rq.endBy - now;
+        boolean again = route.effect() != Effect.NON_RETRIABLE && rq.tries + 1 < set.allowed().tries();
+        double patient = Math.max(typical[r] + 6 * spread[r], 0.35 * route.objective());
+        if (!again || patient + typical[r] > route.objective() || retryTokens < 2) {
+            return left;
+        }
+        return Math.min(left, (long) patient);
+    }
+
+    private void send(Rq rq) {
+        Machine m = rq.want;
+        m.open++;
+        m.sends.addLast(now);
+        if (m.build == trial) {
+            exposed.get(scope(rq.is.route())).addLast(now);
+        }
+    }
+
+    // ---- judging builds
+
+    private Cell cell(long at, int build, int route) {
+        Map<Integer, Cell[]> second = seconds.computeIfAbsent(at / SECOND, k -> new TreeMap<>());
+        Cell[] cells = second.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
+        if (cells[route] == null) {
+            cells[route] = new Cell();
+        }
+        return cells[route];
+    }
+
+    private void judgeBuild(Try was, Event.TryEnded t, Rq rq) {
+        boolean error = t.outcome() == Outcome.ERROR;
+        boolean time = t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
+        if (!was.settled || !error && !time || was.to.strikes >= 2) {
+            return;
+        }
+        Cell c = cell(now, was.build, rq.is.route());
+        c.tries++;
+        c.fails += error ? 1 : 0;
+        if (time) {
+            c.timed++;
+            c.time += t.took();
+        }
+    }
+
+    /** The worst that the evidence says of cand against the earlier build, over the seconds both were seen. */
+    private boolean isBad(int cand, int rev) {
+        int routes = set.routes().size();
+        Cell[] a = new Cell[routes + 1];
+        Cell[] b = new Cell[routes + 1];
+        for (int r = 0; r <= routes; r++) {
+            a[r] = new Cell();
+            b[r] = new Cell();
+        }
+        for (Map<Integer, Cell[]> second : seconds.values()) {
+            Cell[] x = second.get(cand);
+            Cell[] y = second.get(rev);
+            for (int r = 0; r < routes && x != null && y != null; r++) {
+                if (x[r] != null) {
+                    a[r].add(x[r]);
+                    a[routes].add(x[r]);
+                }
+                if (y[r] != null) {
+                    b[r].add(y[r]);
+                    b[routes].add(y[r]);
+                }
+            }
+        }
+        double usual = 0;
+        double took = 0;
+        int timed = 0;
+        boolean bad = false;
+        for (int r = 0; r <= routes; r++) {
+            bad |= leads(a[r].fails, a[r].tries, b[r].fails, b[r].tries, r < routes ? LEAST / 2 : LEAST);
+            bad |= leads(a[r].complaints, a[r].tries, b[r].complaints, b[r].tries, LEAST);
+            if (r < routes && a[r].timed > 0 && b[r].timed > 0) {
+                usual += a[r].timed * b[r].time / b[r].timed;
+                took += a[r].time;
+                timed += a[r].timed;
+            }
+        }
+        return bad || timed >= LEAST && took > usual * (SLOWER + 1 / Math.sqrt(timed));
+    }
+
+    private static boolean leads(int f, int n, int g, int m, int least) {
+        if (n < least || m == 0 || f < LEAST_FAILS) {
+            return false;
+        }
+        double lead = f / (double) n - g / (double) m;
+        double all = (f + g) / (double) (n + m);
+        return lead > MARGIN && lead > SURE * Math.sqrt(all * (1 - all) * (1.0 / n + 1.0 / m));
+    }
+
+    private Verdict verdict() {
+        if (phase == Phase.TRIAL) {
+            if (isBad(newsBuild, base)) {
+                return Verdict.BACK;
+            }
+            long ready = stageSince;
+            for (Machine m : machines.values()) {
+                ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
+            }
+            boolean on = now >= ready + READY && hasLive(newsBuild) && set.rollout().control() != Control.CLOCK;
+            return on ? Verdict.ON : Verdict.NONE;
+        }
+        return Verdict.NONE;
+    }
+
+    private Action.Vote wantedVote() {
+        int needed = set.rollout().control() == Control.ANY ? VOTERS
+                : Math.max(set.rollout().onVotes(), Math.max(set.rollout().backVotes(), set.rollout().holdVotes()));
+        if (set.self() >= needed || newsBuild < 0 || now < askedAt + SECOND / 2) {
+            return null;
+        }
+        if (asked != null && now < askedAt + set.rollout().voteTimeout() + SECOND / 2) {
+            return null;
+        }
+        Verdict v = verdict();
+        boolean same = stands != null && stands.build() == newsBuild && stands.verdict() == v
+                && (v != Verdict.ON || stands.stage() == stage);
+        if (v == Verdict.NONE || same && now < stoodAt + set.rollout().voteLife() * 6 / 10) {
+            return null;
+        }
+        return new Action.Vote(newsBuild, stage, v);
+    }
+
+    // ---- wanted against present
+
+    private void emit(Action.Vote vote) {
+        for (Rq rq : touched) {
+            settle(rq);
+        }
+        touched.clear();
+        if (vote != null) {
+            asked = vote;
+            askedAt = now;
+            out.add(vote);
+            if (vote.verdict() == Verdict.BACK) {
+                out.add(new Action.Log("votes back on build " + vote.build()));
+            }
+        }
+        if (set.allowed().listAsked() && now >= listAskAt) {
+            listAsked = true;
+            listAskAt = now + 5 * SECOND;
+            out.add(new Action.WatchList(true));
+        }
+        long wake = alarms.isEmpty() ? nextTick : Math.min(nextTick, alarms.peek().at);
+        if (wake < armedFor) {
+            armedFor = wake;
+            out.add(new Action.Timer(wake, 0));
+        }
+    }
+
+    private void settle(Rq rq) {
+        boolean answer = rq.wantEnd && !rq.ended;
+        if (answer) {
+            out.add(shedAllowed(rq) ? new Action.Shed(rq.is.id(), set.allowed().longestRetryAfter())
+                    : new Action.Err(rq.is.id()));
+            rq.ended = true;
+        }
+        if (rq.ended && rq.out != null && !rq.out.stopped && set.allowed().stops()) {
+            rq.out.stopped = true;
+            out.add(new Action.StopTry(rq.is.id(), rq.out.no));
+        }
+        if (rq.want != null && !rq.ended) {
+            boolean settled = rq.want.started == 0 || now >= rq.want.started + READY;
+            rq.out = new Try(rq.tries++, rq.want, now, settled);
+            out.add(new Action.Send(rq.is.id(), rq.want.id, rq.within));
+        }
+        rq.want = null;
+        if (rq.ended && rq.out == null) {
+            reqs.remove(rq.is.id());
+        }
+    }
+
+    private void tidy() {
+        long keep = Math.max(set.rollout().window(), set.limits().tipAfter()) + SECOND;
+        for (List<ArrayDeque<Long>> all : List.of(taken, exposed)) {
+            for (ArrayDeque<Long> times : all) {
+                forget(times, now - keep);
+            }
+        }
+        for (Machine m : machines.values()) {
+            forget(m.sends, now - keep);
+        }
+        seconds.headMap((now - MEMORY) / SECOND).clear();
+    }
+
+    private static void forget(ArrayDeque<Long> times, long before) {
+        while (!times.isEmpty() && times.peekFirst() < before) {
+            times.pollFirst();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/laurelkeel/WireTest.java
@@ -0,0 +1,58 @@
+package laurelkeel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import laurelkeel.benchlink.BenchLink;
+import laurelkeel.benchlink.Malformed;
+import laurelkeel.decision.Shifter;
+import org.junit.jupiter.api.Test;
+
+class WireTest {
+    private static final String START = """
+            round 1000.25 1
+            create 0 7 balancers=1 services.count=1 services.0.effect=safe services.0.onTime=800.0 unknown.key=3 \
+            allowed.maxAttempts=3 familyInfo.stageCap=0.1,1.0 familyInfo.gateMode=first_voice selfIndex=0
+            pool 2 1
+            item 4 0 0 0 1 live - 10.0.0.1:80
+            membership 0 C 2 5
+            release_state 0 OK 0 1 0.0 2 4 0
+            commit
+            """;
+
+    private static String play(String text) throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new BenchLink(Shifter::new).run(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)), out);
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void aReqIsHandedOffAndTheBatchAcknowledged() throws Exception {
+        String said = play(START + "round 1005.25 2\nincoming 0 r-1 0 0 - 1800.0 - 0 0\ncommit\n");
+        assertTrue(said.contains("hand_off 0 r-1 10.0.0.1:80 "), said);
+        assertTrue(said.endsWith("ack 2\n"), said);
+    }
+
+    @Test
+    void malformedInputNamesLineAndField() {
+        for (String[] c : new String[][] {{"round x 2\ncommit\n", "round.clock"}, {"round 1 2\n", "commit"},
+            {"round 1 2\nring 0\ncommit\n", "ring"}, {"round 1 2\nhello 0\ncommit\n", "hello"},
+            {"round 1 2\nring 0 1.5\ncommit\n", "ring.handle"}, {"round 1 2\nring 9 1\ncommit\n", "ring.front"}}) {
+            Malformed e = assertThrows(Malformed.class, () -> play(START + c[0]));
+            assertTrue(e.getMessage().contains(c[1]) && e.getMessage().contains("line "), e.getMessage());
+        }
+    }
+
+    @Test
+    void aFailingDeciderBecomesAFaultOfItsFrontOnly() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new BenchLink((set, seed) -> (now, events) -> {
+            throw new IllegalStateException("boom\nhere");
+        }).run(new ByteArrayInputStream(START.getBytes(StandardCharsets.UTF_8)), out);
+        assertEquals("fault 0 java.lang.IllegalStateException: boom here\nack 1\n", out.toString());
+    }
+}
