--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -181,6 +181,7 @@
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
+    private final ArrayDeque<Long> completed = new ArrayDeque<>();
     private final TreeMap<Long, Map<Integer, Cell[]>> seconds = new TreeMap<>();
 
     // the vote
@@ -486,6 +487,7 @@
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
         if (t.outcome() == Outcome.COMPLETED) {
+            completed.addLast(now);
             if (was.build == trial && rq.is.key() != null && set.rollout().keysStay()) {
                 pins.add(rq.is.key());
             }
@@ -633,13 +635,10 @@
         if (m.started == 0 || now - m.started >= set.limits().coldFor() + SECOND) {
             return false;
         }
+        // answers, not reqs taken: in overload the reqs say nothing of what a machine can do
         long window = set.limits().tipAfter();
-        long all = 0;
-        for (ArrayDeque<Long> t : taken) {
-            all += countSince(t, now - window);
-        }
-        double usual = all * m.size / Math.max(places, 1e-9);
-        double most = 2 + COLD_USE * set.limits().tipMultiple() * warmth(m) * usual;
+        double usual = countSince(completed, now - window) * m.size / Math.max(places, 1e-9);
+        double most = Math.max(1, COLD_USE * set.limits().tipMultiple() * warmth(m) * usual);
         return countSince(m.sends, now - window) + 1 > most;
     }
 
@@ -827,6 +826,7 @@
                 forget(times, now - keep);
             }
         }
+        forget(completed, now - keep);
         for (Machine m : machines.values()) {
             forget(m.sends, now - keep);
         }
