Every further try takes a retry token, turned-away ones too

Conclusion: kept; also holds back tries at machines that refuse connections. It hurts when a few crashed machines meet many reqs at once and the tokens are gone: those reqs are shed instead of moved.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -563,7 +563,8 @@
         if (now >= rq.endBy) {
             rq.wantEnd = true;
         } else if (rq.out == null) {
-            boolean again = rq.firstMayHaveRun != null;
+            // turned-away tries count too: a fleet that is full must not be asked by every req at every machine
+            boolean again = rq.tries > 0;
             boolean may = mayResend(rq) && (!again || retryTokens >= 1);
             rq.want = may ? choose(rq) : null;
             rq.wantEnd = rq.want == null;
