Shed early by expected wait, routes that earn least first; late tries stop under pressure

Cause: servers' queues hold only work whose answers come after the latency objective. Told apart from a bad build by both builds being equally late, and from dead machines by even times over machines. Change: a machine's wait is what its answers took beyond the route's calm time, scaled by open tries; a route yields when that exceeds its slack (earlier for the sake of routes that earn more); a try past its objective is stopped while its machine's wait is over half the slack. Guards against every cause of a standing queue; it can hurt when the calm time was learnt on easy reqs.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -63,6 +63,8 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
+    private static final int CALM_RUN = 40;
+    private static final double YIELD = 0.7;
 
     /** One upstream try. */
     private static final class Try {
@@ -71,9 +73,11 @@
         final int build;
         final long sentAt;
         final boolean settled;
+        final int openThen;
         boolean stopped;
 
         Try(int no, Machine to, long sentAt, boolean settled) {
+            this.openThen = to.open;
             this.no = no;
             this.to = to;
             this.build = to.build;
@@ -119,6 +123,8 @@
         int open;
         double credit;
         double pace = 1;
+        double wait;
+        double usualOpen = 1;
         int strikes;
         long outUntil;
         long fullUntil;
@@ -164,6 +170,9 @@
     private long nextTick;
     private final double[] typical;
     private final double[] spread;
+    private final double[] calm;
+    private final double[] windowSum;
+    private final int[] windowCount;
     private double retryTokens = RETRY_MOST;
     private double places;
 
@@ -204,9 +213,13 @@
         int routes = settings.routes().size();
         typical = new double[routes];
         spread = new double[routes];
+        calm = new double[routes];
+        windowSum = new double[routes];
+        windowCount = new int[routes];
         for (int i = 0; i < routes; i++) {
             typical[i] = settings.routes().get(i).objective() / 5.0;
             spread[i] = typical[i] / 2;
+            calm[i] = typical[i];
             taken.add(new ArrayDeque<>());
             exposed.add(new ArrayDeque<>());
         }
@@ -463,6 +476,7 @@
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
         reqs.put(r.id(), rq);
         alarm(rq, rq.endBy);
+        alarm(rq, now + set.routes().get(r.route()).objective() - LAST_CALL);
         touch(rq);
     }
 
@@ -511,6 +525,7 @@
                 m.outUntil = 0;
                 double ratio = Math.min(4, t.took() / Math.max(1, typical[r]));
                 m.pace += (ratio - m.pace) * 0.05;
+                learnWait(m, was, t.took(), r);
                 spread[r] += (Math.abs(t.took() - typical[r]) - spread[r]) * 0.02;
                 typical[r] += (t.took() - typical[r]) * 0.02;
             }
@@ -526,6 +541,43 @@
         }
     }
 
+    /** A route's calm time is the least mean of a run of its answers; what an answer took beyond it was waiting. */
+    private void learnWait(Machine m, Try was, long took, int r) {
+        windowSum[r] += took;
+        if (++windowCount[r] == CALM_RUN) {
+            calm[r] = Math.min(calm[r], windowSum[r] / CALM_RUN);
+            windowSum[r] = 0;
+            windowCount[r] = 0;
+        }
+        m.wait += (took - calm[r] - m.wait) * 0.15;
+        m.usualOpen += (was.openThen - m.usualOpen) * 0.15;
+    }
+
+    private double expectedWait(Machine m) {
+        return Math.max(0, m.wait) * (m.open + 1) / Math.max(1, m.usualOpen);
+    }
+
+    private double slack(int r) {
+        return set.routes().get(r).objective() - 1.5 * calm[r];
+    }
+
+    private double density(int r) {
+        double earnings = set.routes().get(r).earnings();
+        return set.earningsByWork() ? earnings : earnings / calm[r];
+    }
+
+    /** The wait at which a route gives way: its own slack, or earlier for the sake of routes that earn more. */
+    private double yieldAt(int r) {
+        double least = slack(r);
+        for (int q = 0; q < set.routes().size(); q++) {
+            double more = density(q) / density(r);
+            if (more >= 0.8) {
+                least = Math.min(least, slack(q) * (more > 1.25 ? YIELD : 1));
+            }
+        }
+        return least;
+    }
+
     private boolean mayResend(Rq rq) {
         if (rq.tries >= set.allowed().tries()) {
             return false;
@@ -560,13 +612,20 @@
         if (rq.ended || rq.wantEnd) {
             return;
         }
+        Route route = set.routes().get(rq.is.route());
         if (now >= rq.endBy) {
             rq.wantEnd = true;
+        } else if (rq.out != null && now >= rq.takenAt + route.objective() - LAST_CALL) {
+            // queues that only hold late answers never empty; against every cause of a standing queue
+            rq.wantEnd = expectedWait(rq.out.to) > slack(rq.is.route()) / 2;
         } else if (rq.out == null) {
             // turned-away tries count too: a fleet that is full must not be asked by every req at every machine
             boolean again = rq.tries > 0;
             boolean may = mayResend(rq) && (!again || retryTokens >= 1);
             rq.want = may ? choose(rq) : null;
+            if (rq.want != null && expectedWait(rq.want) > yieldAt(rq.is.route())) {
+                rq.want = null;
+            }
             rq.wantEnd = rq.want == null;
             if (rq.want != null) {
                 retryTokens -= again ? 1 : 0;
