--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -63,6 +63,7 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
+    private static final int LEVELS = 12;
     private static final int CALM_RUN = 40;
     private static final double YIELD = 0.7;
 
@@ -74,10 +75,12 @@
         final long sentAt;
         final boolean settled;
         final int openThen;
+        final int level;
         boolean stopped;
 
         Try(int no, Machine to, long sentAt, boolean settled) {
             this.openThen = to.open;
+            this.level = level(to.open + to.others);
             this.no = no;
             this.to = to;
             this.build = to.build;
@@ -123,6 +126,8 @@
         int open;
         double credit;
         double pace = 1;
+        int paced;
+        long pacedAt;
         double wait;
         double usualOpen = 1;
         int strikes;
@@ -141,15 +146,11 @@
         int tries;
         int fails;
         int complaints;
-        int timed;
-        double time;
 
         void add(Cell o) {
             tries += o.tries;
             fails += o.fails;
             complaints += o.complaints;
-            timed += o.timed;
-            time += o.time;
         }
     }
 
@@ -168,7 +169,8 @@
     private long alarmCount;
     private long armedFor = Long.MAX_VALUE;
     private long nextTick;
-    private final double[] typical;
+    private final double[][] usual;
+    private final int[][] usualSeen;
     private final double[] spread;
     private final double[] calm;
     private final double[] windowSum;
@@ -198,6 +200,7 @@
     private Action.Vote asked;
     private long askedAt = Long.MIN_VALUE / 2;
     private long stoodAt;
+    private String reason;
 
     // the list
     private boolean watching;
@@ -211,15 +214,15 @@
         this.set = settings;
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
         int routes = settings.routes().size();
-        typical = new double[routes];
+        usual = new double[routes][LEVELS];
+        usualSeen = new int[routes][LEVELS];
         spread = new double[routes];
         calm = new double[routes];
         windowSum = new double[routes];
         windowCount = new int[routes];
         for (int i = 0; i < routes; i++) {
-            typical[i] = settings.routes().get(i).objective() / 5.0;
-            spread[i] = typical[i] / 2;
-            calm[i] = typical[i];
+            calm[i] = settings.routes().get(i).objective() / 5.0;
+            spread[i] = 0.5;
             taken.add(new ArrayDeque<>());
             exposed.add(new ArrayDeque<>());
         }
@@ -300,6 +303,8 @@
                 m.outUntil = 0;
                 m.fullUntil = 0;
                 m.pace = 1;
+                m.paced = 0;
+                m.wait = 0;
                 m.others = 0;
             }
             m.build = i.build();
@@ -523,11 +528,8 @@
             case COMPLETED -> {
                 m.strikes = 0;
                 m.outUntil = 0;
-                double ratio = Math.min(4, t.took() / Math.max(1, typical[r]));
-                m.pace += (ratio - m.pace) * 0.05;
+                learnPace(m, was, t.took(), r);
                 learnWait(m, was, t.took(), r);
-                spread[r] += (Math.abs(t.took() - typical[r]) - spread[r]) * 0.02;
-                typical[r] += (t.took() - typical[r]) * 0.02;
             }
             case TIMEOUT, BROKEN, NO_CONNECTION -> {
                 if (t.outcome() != Outcome.TIMEOUT || now < rq.endBy) {
@@ -541,6 +543,26 @@
         }
     }
 
+    private static int level(double open) {
+        return (int) Math.min(LEVELS - 1, Math.round(2 * Math.log(Math.max(1, open)) / Math.log(2)));
+    }
+
+    /** Like against like: an answer's time is held against the earlier build's at machines as crowded as this one. */
+    private void learnPace(Machine m, Try was, long took, int r) {
+        int level = was.level;
+        if (usualSeen[r][level] >= 8) {
+            double ratio = took / usual[r][level];
+            m.pace += (Math.min(4, ratio) - m.pace) * 0.06;
+            m.paced += was.settled ? 1 : 0;
+            m.pacedAt = now;
+            spread[r] += (Math.abs(ratio - 1) - spread[r]) * 0.02;
+        }
+        if (was.build != trial) {
+            usualSeen[r][level]++;
+            usual[r][level] += (took - usual[r][level]) * Math.max(0.05, 1.0 / usualSeen[r][level]);
+        }
+    }
+
     /** A route's calm time is the least mean of a run of its answers; what an answer took beyond it was waiting. */
     private void learnWait(Machine m, Try was, long took, int r) {
         windowSum[r] += took;
@@ -707,8 +729,9 @@
         int r = rq.is.route();
         long left = rq.endBy - now;
         boolean again = route.effect() != Effect.NON_RETRIABLE && rq.tries + 1 < set.allowed().tries();
-        double patient = Math.max(typical[r] + 6 * spread[r], 0.35 * route.objective());
-        if (!again || patient + typical[r] > route.objective() || retryTokens < 2) {
+        double typical = usualSeen[r][level(rq.want.open)] < 8 ? calm[r] : usual[r][level(rq.want.open)];
+        double patient = Math.max(typical * (1 + 6 * spread[r]), 0.35 * route.objective());
+        if (!again || patient + typical > route.objective() || retryTokens < 2) {
             return left;
         }
         return Math.min(left, (long) patient);
@@ -743,14 +766,10 @@
         Cell c = cell(now, was.build, rq.is.route());
         c.tries++;
         c.fails += error ? 1 : 0;
-        if (time) {
-            c.timed++;
-            c.time += t.took();
-        }
     }
 
-    /** The worst that the evidence says of cand against the earlier build, over the seconds both were seen. */
-    private boolean isBad(int cand, int rev) {
+    /** What speaks against cand beside the earlier build, over the seconds both were seen; null for nothing. */
+    private String against(int cand, int rev) {
         int routes = set.routes().size();
         Cell[] a = new Cell[routes + 1];
         Cell[] b = new Cell[routes + 1];
@@ -772,20 +791,36 @@
                 }
             }
         }
-        double usual = 0;
-        double took = 0;
-        int timed = 0;
-        boolean bad = false;
         for (int r = 0; r <= routes; r++) {
-            bad |= leads(a[r].fails, a[r].tries, b[r].fails, b[r].tries, r < routes ? LEAST / 2 : LEAST);
-            bad |= leads(a[r].complaints, a[r].tries, b[r].complaints, b[r].tries, LEAST);
-            if (r < routes && a[r].timed > 0 && b[r].timed > 0) {
-                usual += a[r].timed * b[r].time / b[r].timed;
-                took += a[r].time;
-                timed += a[r].timed;
+            if (leads(a[r].fails, a[r].tries, b[r].fails, b[r].tries, r < routes ? LEAST / 2 : LEAST)) {
+                return "errors " + a[r].fails + " of " + a[r].tries + ", earlier " + b[r].fails + " of " + b[r].tries;
+            }
+            if (leads(a[r].complaints, a[r].tries, b[r].complaints, b[r].tries, LEAST)) {
+                return "complaints " + a[r].complaints + " of " + a[r].tries;
+            }
+        }
+        return slower(cand, rev);
+    }
+
+    /** Slow is a build whose every machine is slow, and that has two or more: one slow machine is no build. */
+    private String slower(int cand, int rev) {
+        double quickest = Double.MAX_VALUE;
+        double earlier = 0;
+        int on = 0;
+        int off = 0;
+        int seen = 0;
+        for (Machine m : machines.values()) {
+            if (m.live && m.build == cand && m.paced >= LEAST / 2) {
+                quickest = Math.min(quickest, m.pace);
+                on++;
+                seen += m.paced;
+            } else if (m.live && m.build == rev && m.paced >= LEAST / 2 && now < m.pacedAt + 2 * SECOND) {
+                earlier += m.pace;
+                off++;
             }
         }
-        return bad || timed >= LEAST && took > usual * (SLOWER + 1 / Math.sqrt(timed));
+        boolean slow = on > 1 && off > 0 && seen >= LEAST && quickest > SLOWER * Math.max(1, earlier / off);
+        return slow ? "slow: quickest machine " + quickest + " against " + earlier / off : null;
     }
 
     private static boolean leads(int f, int n, int g, int m, int least) {
@@ -799,7 +834,8 @@
 
     private Verdict verdict() {
         if (phase == Phase.TRIAL) {
-            if (isBad(newsBuild, base)) {
+            reason = against(newsBuild, base);
+            if (reason != null) {
                 return Verdict.BACK;
             }
             long ready = stageSince;
@@ -842,7 +878,7 @@
             askedAt = now;
             out.add(vote);
             if (vote.verdict() == Verdict.BACK) {
-                out.add(new Action.Log("votes back on build " + vote.build()));
+                out.add(new Action.Log("votes back on build " + vote.build() + ": " + reason));
             }
         }
         if (set.allowed().listAsked() && now >= listAskAt) {
