Every front votes, not only those with low numbers

Guards as well against silent or restarted voters; it can hurt where one vote sends a build back, since more fronts can be wrong.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -48,7 +48,7 @@
     private static final double RAMP = 1.25;
     private static final int MOST_PINS = 200_000;
     private static final long READY = 3 * SECOND;
-    private static final int VOTERS = 3;
+    private static final int VOTERS = Integer.MAX_VALUE;
     private static final double MARGIN = 0.02;
     private static final double SURE = 3.0;
     private static final int LEAST = 20;
@@ -849,9 +849,7 @@
     }
 
     private Action.Vote wantedVote() {
-        int needed = set.rollout().control() == Control.ANY ? VOTERS
-                : Math.max(set.rollout().onVotes(), Math.max(set.rollout().backVotes(), set.rollout().holdVotes()));
-        if (set.self() >= needed || newsBuild < 0 || now < askedAt + SECOND / 2) {
+        if (set.self() >= VOTERS || newsBuild < 0 || now < askedAt + SECOND / 2) {
             return null;
         }
         if (asked != null && now < askedAt + set.rollout().voteTimeout() + SECOND / 2) {
