Send back a build whose traffic slows the earlier build's machines in step with its share

Cause: a build that harms something all builds depend on. Told from an outside slow spell by a fit of the earlier machines' pace on the trial's share of the sends: a spell starts and ends without regard to it. The usual times are now learnt only while no build is on trial. Also guards against a build that floods a common machine or link. It can hurt when a slow spell happens to begin with a stage step.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -63,6 +63,9 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
+    private static final int PACED = 5;
+    private static final double SHARED = 0.35;
+    private static final double IN_STEP = 0.7;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 40;
     private static final double YIELD = 0.7;
@@ -154,6 +157,15 @@
         }
     }
 
+    /** One second of the instance: outcomes by build and route, and how slow the earlier build's machines were. */
+    private static final class Second {
+        final Map<Integer, Cell[]> builds = new TreeMap<>();
+        int sends;
+        int trialSends;
+        double pace;
+        int paced;
+    }
+
     private record Alarm(long at, long order, Rq rq) { }
 
     // ---- the instance's own
@@ -193,7 +205,7 @@
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
     private final ArrayDeque<Long> completed = new ArrayDeque<>();
-    private final TreeMap<Long, Map<Integer, Cell[]>> seconds = new TreeMap<>();
+    private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
     private Action.Vote stands;
@@ -550,14 +562,24 @@
     /** Like against like: an answer's time is held against the earlier build's at machines as crowded as this one. */
     private void learnPace(Machine m, Try was, long took, int r) {
         int level = was.level;
-        if (usualSeen[r][level] >= 8) {
-            double ratio = took / usual[r][level];
+        int known = level;
+        while (known > 0 && usualSeen[r][known] < 8) {
+            known--;
+        }
+        if (usualSeen[r][known] >= 8) {
+            // a crowd never met before explains part of the time, not all of it
+            double ratio = took / (usual[r][known] * Math.pow(2, (level - known) / 4.0));
+            if (was.build == base && was.settled) {
+                second(now).pace += Math.min(4, ratio);
+                second(now).paced++;
+            }
             m.pace += (Math.min(4, ratio) - m.pace) * 0.06;
             m.paced += was.settled ? 1 : 0;
             m.pacedAt = now;
             spread[r] += (Math.abs(ratio - 1) - spread[r]) * 0.02;
         }
-        if (was.build != trial) {
+        // while a build is on trial the usual stands still, or harm that both builds share would become usual
+        if (trial < 0 || was.build != trial && usualSeen[r][level] < 8) {
             usualSeen[r][level]++;
             usual[r][level] += (took - usual[r][level]) * Math.max(0.05, 1.0 / usualSeen[r][level]);
         }
@@ -741,16 +763,21 @@
         Machine m = rq.want;
         m.open++;
         m.sends.addLast(now);
+        second(now).sends++;
         if (m.build == trial) {
+            second(now).trialSends++;
             exposed.get(scope(rq.is.route())).addLast(now);
         }
     }
 
     // ---- judging builds
 
+    private Second second(long at) {
+        return seconds.computeIfAbsent(at / SECOND, k -> new Second());
+    }
+
     private Cell cell(long at, int build, int route) {
-        Map<Integer, Cell[]> second = seconds.computeIfAbsent(at / SECOND, k -> new TreeMap<>());
-        Cell[] cells = second.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
+        Cell[] cells = second(at).builds.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
         if (cells[route] == null) {
             cells[route] = new Cell();
         }
@@ -777,9 +804,9 @@
             a[r] = new Cell();
             b[r] = new Cell();
         }
-        for (Map<Integer, Cell[]> second : seconds.values()) {
-            Cell[] x = second.get(cand);
-            Cell[] y = second.get(rev);
+        for (Second second : seconds.values()) {
+            Cell[] x = second.builds.get(cand);
+            Cell[] y = second.builds.get(rev);
             for (int r = 0; r < routes && x != null && y != null; r++) {
                 if (x[r] != null) {
                     a[r].add(x[r]);
@@ -799,7 +826,47 @@
                 return "complaints " + a[r].complaints + " of " + a[r].tries;
             }
         }
-        return slower(cand, rev);
+        String slow = slower(cand, rev);
+        return slow == null ? slowsAll() : slow;
+    }
+
+    /**
+     * Harm that both builds share: the earlier build's own machines slow down in step with the trial's traffic, and
+     * ran well before it. A slow spell from elsewhere starts and ends without regard to that share.
+     */
+    private String slowsAll() {
+        double before = 0;
+        int calmSeconds = 0;
+        double most = 0;
+        for (Second s : seconds.values()) {
+            if (s.paced >= PACED && s.trialSends == 0) {
+                before += s.pace / s.paced;
+                calmSeconds++;
+            }
+            most = s.sends > 0 ? Math.max(most, s.trialSends / (double) s.sends) : most;
+        }
+        before /= Math.max(1, calmSeconds);
+        double xy = 0;
+        double xx = 0;
+        double yy = 0;
+        int high = 0;
+        for (Second s : seconds.values()) {
+            if (s.paced >= PACED) {
+                double x = s.trialSends / (double) Math.max(1, s.sends);
+                double y = s.pace / s.paced - before;
+                xy += x * y;
+                xx += x * x;
+                yy += y * y;
+                high += x > 0.7 * most ? 1 : 0;
+            }
+        }
+        if (calmSeconds < 3 || high < 3 || most < 0.12 || xx == 0 || yy == 0) {
+            return null;
+        }
+        double slope = xy / xx;
+        double fit = xy * xy / (xx * yy);
+        boolean shared = slope * most > SHARED * before && fit > IN_STEP;
+        return shared ? "slows all: by " + slope * most + " at share " + most + ", fit " + fit : null;
     }
 
     /** Slow is a build whose every machine is slow, and that has two or more: one slow machine is no build. */
