--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -67,7 +67,8 @@
     private static final double SHARED = 0.35;
     private static final double IN_STEP = 0.7;
     private static final int LEVELS = 12;
-    private static final int CALM_RUN = 40;
+    private static final int CALM_RUN = 100;
+    private static final double CALM_DRIFT = 1.02;
     private static final double YIELD = 0.7;
 
     /** One upstream try. */
@@ -187,6 +188,7 @@
     private final double[] calm;
     private final double[] windowSum;
     private final int[] windowCount;
+    private final int[] calmRuns;
     private double retryTokens = RETRY_MOST;
     private double places;
 
@@ -232,6 +234,7 @@
         calm = new double[routes];
         windowSum = new double[routes];
         windowCount = new int[routes];
+        calmRuns = new int[routes];
         for (int i = 0; i < routes; i++) {
             calm[i] = settings.routes().get(i).objective() / 5.0;
             spread[i] = 0.5;
@@ -585,11 +588,12 @@
         }
     }
 
-    /** A route's calm time is the least mean of a run of its answers; what an answer took beyond it was waiting. */
+    /** A route's calm time: the least mean of a run of its answers. What an answer took beyond it was waiting. */
     private void learnWait(Machine m, Try was, long took, int r) {
         windowSum[r] += took;
         if (++windowCount[r] == CALM_RUN) {
-            calm[r] = Math.min(calm[r], windowSum[r] / CALM_RUN);
+            double mean = windowSum[r] / CALM_RUN;
+            calm[r] = calmRuns[r]++ == 0 ? mean : Math.min(calm[r] * CALM_DRIFT, mean);
             windowSum[r] = 0;
             windowCount[r] = 0;
         }
