--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -53,6 +53,7 @@
     private static final double SURE = 3.0;
     private static final int LEAST = 20;
     private static final int LEAST_FAILS = 3;
+    private static final int LEAST_COMPLAINTS = 5;
     private static final double SLOWER = 1.5;
     private static final long MEMORY = 30 * SECOND;
     private static final long TICK = SECOND / 10;
@@ -63,7 +64,8 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
-    private static final int PACED = 5;
+    private static final double SPELL = 1.4;
+    private static final long SPELL_PATIENCE = 10 * SECOND;
     private static final double SHARED = 0.35;
     private static final double IN_STEP = 0.7;
     private static final int LEVELS = 12;
@@ -163,8 +165,13 @@
         final Map<Integer, Cell[]> builds = new TreeMap<>();
         int sends;
         int trialSends;
-        double pace;
-        int paced;
+        final Map<String, double[]> paces = new TreeMap<>();
+
+        /** The median over machines, so that a few slow machines do not pass for a slow fleet; 0 for too few. */
+        double pace() {
+            double[] means = paces.values().stream().mapToDouble(v -> v[0] / v[1]).sorted().toArray();
+            return means.length < 3 ? 0 : (means[(means.length - 1) / 2] + means[means.length / 2]) / 2;
+        }
     }
 
     private record Alarm(long at, long order, Rq rq) { }
@@ -573,8 +580,9 @@
             // a crowd never met before explains part of the time, not all of it
             double ratio = took / (usual[r][known] * Math.pow(2, (level - known) / 4.0));
             if (was.build == base && was.settled) {
-                second(now).pace += Math.min(4, ratio);
-                second(now).paced++;
+                double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
+                sum[0] += Math.min(4, ratio);
+                sum[1]++;
             }
             m.pace += (Math.min(4, ratio) - m.pace) * 0.06;
             m.paced += was.settled ? 1 : 0;
@@ -826,7 +834,8 @@
             if (leads(a[r].fails, a[r].tries, b[r].fails, b[r].tries, r < routes ? LEAST / 2 : LEAST)) {
                 return "errors " + a[r].fails + " of " + a[r].tries + ", earlier " + b[r].fails + " of " + b[r].tries;
             }
-            if (leads(a[r].complaints, a[r].tries, b[r].complaints, b[r].tries, LEAST)) {
+            if (a[r].complaints >= LEAST_COMPLAINTS
+                    && leads(a[r].complaints, a[r].tries, b[r].complaints, b[r].tries, LEAST)) {
                 return "complaints " + a[r].complaints + " of " + a[r].tries;
             }
         }
@@ -839,38 +848,43 @@
      * ran well before it. A slow spell from elsewhere starts and ends without regard to that share.
      */
     private String slowsAll() {
-        double before = 0;
-        int calmSeconds = 0;
+        double before = paceBefore();
         double most = 0;
         for (Second s : seconds.values()) {
-            if (s.paced >= PACED && s.trialSends == 0) {
-                before += s.pace / s.paced;
-                calmSeconds++;
-            }
             most = s.sends > 0 ? Math.max(most, s.trialSends / (double) s.sends) : most;
         }
-        before /= Math.max(1, calmSeconds);
         double xy = 0;
         double xx = 0;
         double yy = 0;
         int high = 0;
         for (Second s : seconds.values()) {
-            if (s.paced >= PACED) {
+            double pace = s.pace();
+            if (pace > 0) {
                 double x = s.trialSends / (double) Math.max(1, s.sends);
-                double y = s.pace / s.paced - before;
-                xy += x * y;
+                xy += x * (pace - before);
                 xx += x * x;
-                yy += y * y;
+                yy += (pace - before) * (pace - before);
                 high += x > 0.7 * most ? 1 : 0;
             }
         }
-        if (calmSeconds < 3 || high < 3 || most < 0.12 || xx == 0 || yy == 0) {
+        if (before == 0 || high < 3 || most < 0.12 || xx == 0 || yy == 0) {
             return null;
         }
-        double slope = xy / xx;
+        double rise = xy / xx * most;
         double fit = xy * xy / (xx * yy);
-        boolean shared = slope * most > SHARED * before && fit > IN_STEP;
-        return shared ? "slows all: by " + slope * most + " at share " + most + ", fit " + fit : null;
+        return rise > SHARED * before && fit > IN_STEP ? "slows all by " + rise + ", fit " + fit : null;
+    }
+
+    private double paceBefore() {
+        return seconds.values().stream().filter(s -> s.trialSends == 0).mapToDouble(Second::pace).filter(p -> p > 0)
+                .average().orElse(0);
+    }
+
+    private boolean slowSpell() {
+        double lately = seconds.tailMap(now / SECOND - 3).values().stream().mapToDouble(Second::pace)
+                .filter(p -> p > 0).average().orElse(0);
+        double before = paceBefore();
+        return before > 0 && lately > SPELL * before;
     }
 
     /** Slow is a build whose every machine is slow, and that has two or more: one slow machine is no build. */
@@ -913,6 +927,8 @@
             for (Machine m : machines.values()) {
                 ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
             }
+            // no step in a spell that slows everything: what it hides cannot be judged, and starts make it worse
+            ready += slowSpell() ? SPELL_PATIENCE : 0;
             boolean on = now >= ready + READY && hasLive(newsBuild) && set.rollout().control() != Control.CLOCK;
             return on ? Verdict.ON : Verdict.NONE;
         }
