--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -64,7 +64,7 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
-    private static final double SPELL = 1.4;
+    private static final double SPELL = 1.35;
     private static final long SPELL_PATIENCE = 10 * SECOND;
     private static final double SHARED = 0.35;
     private static final double IN_STEP = 0.7;
@@ -945,7 +945,9 @@
         Verdict v = verdict();
         boolean same = stands != null && stands.build() == newsBuild && stands.verdict() == v
                 && (v != Verdict.ON || stands.stage() == stage);
-        if (v == Verdict.NONE || same && now < stoodAt + set.rollout().voteLife() * 6 / 10) {
+        boolean standing = stands != null && now < stoodAt + set.rollout().voteLife();
+        if (v == Verdict.NONE ? !standing || stands.verdict() != Verdict.ON || stands.stage() != stage
+                || stands.build() != newsBuild : same && now < stoodAt + set.rollout().voteLife() * 6 / 10) {
             return null;
         }
         return new Action.Vote(newsBuild, stage, v);
