--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -152,11 +152,17 @@
         int tries;
         int fails;
         int complaints;
+        int rated;
+        double ratio;
+        double square;
 
         void add(Cell o) {
             tries += o.tries;
             fails += o.fails;
             complaints += o.complaints;
+            rated += o.rated;
+            ratio += o.ratio;
+            square += o.square;
         }
     }
 
@@ -579,6 +585,12 @@
         if (usualSeen[r][known] >= 8) {
             // a crowd never met before explains part of the time, not all of it
             double ratio = took / (usual[r][known] * Math.pow(2, (level - known) / 4.0));
+            if (was.settled) {
+                Cell c = cell(now, was.build, r);
+                c.rated++;
+                c.ratio += Math.min(4, ratio);
+                c.square += Math.min(4, ratio) * Math.min(4, ratio);
+            }
             if (was.build == base && was.settled) {
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
                 sum[0] += Math.min(4, ratio);
@@ -839,7 +851,7 @@
                 return "complaints " + a[r].complaints + " of " + a[r].tries;
             }
         }
-        String slow = slower(cand, rev);
+        String slow = slower(cand, a[routes], b[routes]);
         return slow == null ? slowsAll() : slow;
     }
 
@@ -887,25 +899,23 @@
         return before > 0 && lately > SPELL * before;
     }
 
-    /** Slow is a build whose every machine is slow, and that has two or more: one slow machine is no build. */
-    private String slower(int cand, int rev) {
-        double quickest = Double.MAX_VALUE;
-        double earlier = 0;
-        int on = 0;
-        int off = 0;
+    /** Slow is a build that is surely slower by the answers and on most of its machines: one machine is no build. */
+    private String slower(int cand, Cell a, Cell b) {
+        int most = 0;
         int seen = 0;
         for (Machine m : machines.values()) {
-            if (m.live && m.build == cand && m.paced >= LEAST / 2) {
-                quickest = Math.min(quickest, m.pace);
-                on++;
-                seen += m.paced;
-            } else if (m.live && m.build == rev && m.paced >= LEAST / 2 && now < m.pacedAt + 2 * SECOND) {
-                earlier += m.pace;
-                off++;
-            }
+            boolean counts = m.live && m.build == cand && m.paced >= LEAST / 4;
+            seen += counts ? 1 : 0;
+            most += counts && m.pace > (1 + SLOWER) / 2 ? 1 : 0;
+        }
+        if (a.rated < LEAST || b.rated < LEAST || most < 2 || most * 3 < seen * 2) {
+            return null;
         }
-        boolean slow = on > 1 && off > 0 && seen >= LEAST && quickest > SLOWER * Math.max(1, earlier / off);
-        return slow ? "slow: quickest machine " + quickest + " against " + earlier / off : null;
+        double x = a.ratio / a.rated;
+        double y = Math.max(1, b.ratio / b.rated);
+        double doubt = Math.sqrt((a.square / a.rated - x * x) / a.rated + (b.square / b.rated - y * y) / b.rated);
+        boolean slow = x > SLOWER * y && x - (1 + SLOWER) / 2 * y > SURE * doubt;
+        return slow ? "slow " + x + " of " + a.rated + ", earlier " + y + " of " + b.rated : null;
     }
 
     private static boolean leads(int f, int n, int g, int m, int least) {
