Judge harm to all by every machine and for a while after the release

Expected: shared harm and slow builds found after the release too. Conclusion: the judging after the release stays, the measure needs like crowding: next.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -66,8 +66,9 @@
     private static final double COLD_USE = 0.7;
     private static final double SPELL = 1.35;
     private static final long SPELL_PATIENCE = 10 * SECOND;
-    private static final double SHARED = 0.35;
-    private static final double IN_STEP = 0.7;
+    private static final double SHARED = 0.6;
+    private static final double IN_STEP = 0.75;
+    private static final long AFTER_RELEASE = 25 * SECOND;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
     private static final double CALM_DRIFT = 1.02;
@@ -213,6 +214,7 @@
     private long stageSince;
     private int trial = -1;
     private int base = -1;
+    private int rival = -1;
     private double baseAtStart;
     private double threshold;
     private final Set<String> pins = new HashSet<>();
@@ -420,6 +422,7 @@
             exposed.forEach(ArrayDeque::clear);
         }
         base = earlier;
+        rival = trial >= 0 ? base : rival;
         double all = 0;
         for (Machine m : machines.values()) {
             all += m.live ? m.size : 0;
@@ -590,8 +593,6 @@
                 c.rated++;
                 c.ratio += Math.min(4, ratio);
                 c.square += Math.min(4, ratio) * Math.min(4, ratio);
-            }
-            if (was.build == base && was.settled) {
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
                 sum[0] += Math.min(4, ratio);
                 sum[1]++;
@@ -602,7 +603,7 @@
             spread[r] += (Math.abs(ratio - 1) - spread[r]) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
-        if (trial < 0 || was.build != trial && usualSeen[r][level] < 8) {
+        if (judged() < 0 || was.build != judged() && usualSeen[r][level] < 8) {
             usualSeen[r][level]++;
             usual[r][level] += (took - usual[r][level]) * Math.max(0.05, 1.0 / usualSeen[r][level]);
         }
@@ -788,8 +789,8 @@
         m.open++;
         m.sends.addLast(now);
         second(now).sends++;
+        second(now).trialSends += m.build == judged() ? 1 : 0;
         if (m.build == trial) {
-            second(now).trialSends++;
             exposed.get(scope(rq.is.route())).addLast(now);
         }
     }
@@ -856,8 +857,8 @@
     }
 
     /**
-     * Harm that both builds share: the earlier build's own machines slow down in step with the trial's traffic, and
-     * ran well before it. A slow spell from elsewhere starts and ends without regard to that share.
+     * Harm that all machines share: they slow down in step with the trial's traffic and ran well before it. A slow
+     * spell from elsewhere starts and ends without regard to that share.
      */
     private String slowsAll() {
         double before = paceBefore();
@@ -908,7 +909,7 @@
             seen += counts ? 1 : 0;
             most += counts && m.pace > (1 + SLOWER) / 2 ? 1 : 0;
         }
-        if (a.rated < LEAST || b.rated < LEAST || most < 2 || most * 3 < seen * 2) {
+        if (a.rated < LEAST || b.rated < LEAST || most < 2 || most * 6 < seen * 5) {
             return null;
         }
         double x = a.ratio / a.rated;
@@ -927,12 +928,21 @@
         return lead > MARGIN && lead > SURE * Math.sqrt(all * (1 - all) * (1.0 / n + 1.0 / m));
     }
 
+    /** The build under judgement: on trial, or released a short while ago, when it can still be sent back. */
+    private int judged() {
+        boolean late = phase == Phase.RELEASED && rival >= 0 && now < stageSince + AFTER_RELEASE;
+        return trial >= 0 ? trial : late ? newsBuild : -1;
+    }
+
     private Verdict verdict() {
+        if (judged() != newsBuild) {
+            return Verdict.NONE;
+        }
+        reason = against(newsBuild, rival);
+        if (reason != null) {
+            return Verdict.BACK;
+        }
         if (phase == Phase.TRIAL) {
-            reason = against(newsBuild, base);
-            if (reason != null) {
-                return Verdict.BACK;
-            }
             long ready = stageSince;
             for (Machine m : machines.values()) {
                 ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
