--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -581,13 +581,9 @@
     /** Like against like: an answer's time is held against the earlier build's at machines as crowded as this one. */
     private void learnPace(Machine m, Try was, long took, int r) {
         int level = was.level;
-        int known = level;
-        while (known > 0 && usualSeen[r][known] < 8) {
-            known--;
-        }
-        if (usualSeen[r][known] >= 8) {
-            // a crowd never met before explains part of the time, not all of it
-            double ratio = took / (usual[r][known] * Math.pow(2, (level - known) / 4.0));
+        // a crowd never met before proves nothing: plain overload would pass for a slow build
+        if (usualSeen[r][level] >= 8) {
+            double ratio = took / usual[r][level];
             if (was.settled) {
                 Cell c = cell(now, was.build, r);
                 c.rated++;
