--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -66,8 +66,8 @@
     private static final double COLD_USE = 0.7;
     private static final double SPELL = 1.35;
     private static final long SPELL_PATIENCE = 10 * SECOND;
-    private static final double SHARED = 0.6;
-    private static final double IN_STEP = 0.75;
+    private static final double SHARED = 0.4;
+    private static final double IN_STEP = 0.7;
     private static final long AFTER_RELEASE = 25 * SECOND;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
@@ -229,6 +229,7 @@
     private Action.Vote asked;
     private long askedAt = Long.MIN_VALUE / 2;
     private long stoodAt;
+    private long nextVerdict;
     private String reason;
 
     // the list
@@ -854,34 +855,41 @@
 
     /**
      * Harm that all machines share: they slow down in step with the trial's traffic and ran well before it. A slow
-     * spell from elsewhere starts and ends without regard to that share.
+     * spell from elsewhere starts and ends without regard to that share, so the best single spell that could explain
+     * the seconds must explain them clearly worse.
      */
     private String slowsAll() {
         double before = paceBefore();
+        List<double[]> points = new ArrayList<>();
         double most = 0;
-        for (Second s : seconds.values()) {
-            most = s.sends > 0 ? Math.max(most, s.trialSends / (double) s.sends) : most;
-        }
         double xy = 0;
         double xx = 0;
         double yy = 0;
-        int high = 0;
         for (Second s : seconds.values()) {
-            double pace = s.pace();
-            if (pace > 0) {
-                double x = s.trialSends / (double) Math.max(1, s.sends);
-                xy += x * (pace - before);
+            double x = s.trialSends / (double) Math.max(1, s.sends);
+            double y = s.pace() - before;
+            if (y > -before) {
+                points.add(new double[] {x, y});
+                most = Math.max(most, x);
+                xy += x * y;
                 xx += x * x;
-                yy += (pace - before) * (pace - before);
-                high += x > 0.7 * most ? 1 : 0;
+                yy += y * y;
             }
         }
-        if (before == 0 || high < 3 || most < 0.12 || xx == 0 || yy == 0) {
+        if (before == 0 || xx == 0 || xy / xx * most < SHARED * before) {
             return null;
         }
-        double rise = xy / xx * most;
-        double fit = xy * xy / (xx * yy);
-        return rise > SHARED * before && fit > IN_STEP ? "slows all by " + rise + ", fit " + fit : null;
+        double inStep = yy - xy * xy / xx;
+        double spell = yy;
+        for (int from = 0; from < points.size(); from++) {
+            double sum = 0;
+            for (int to = from; to < points.size(); to++) {
+                sum += points.get(to)[1];
+                spell = Math.min(spell, yy - sum * sum / (to - from + 1));
+            }
+        }
+        boolean shared = inStep < IN_STEP * spell;
+        return shared ? "slows all by " + xy / xx * most + ", unexplained " + inStep + ", by a spell " + spell : null;
     }
 
     private double paceBefore() {
@@ -952,12 +960,13 @@
     }
 
     private Action.Vote wantedVote() {
-        if (set.self() >= VOTERS || newsBuild < 0 || now < askedAt + SECOND / 2) {
+        if (set.self() >= VOTERS || newsBuild < 0 || now < nextVerdict) {
             return null;
         }
         if (asked != null && now < askedAt + set.rollout().voteTimeout() + SECOND / 2) {
             return null;
         }
+        nextVerdict = now + SECOND / 4;
         Verdict v = verdict();
         boolean same = stands != null && stands.build() == newsBuild && stands.verdict() == v
                 && (v != Verdict.ON || stands.stage() == stage);
@@ -979,6 +988,7 @@
         if (vote != null) {
             asked = vote;
             askedAt = now;
+            nextVerdict = now + SECOND / 2;
             out.add(vote);
             if (vote.verdict() == Verdict.BACK) {
                 out.add(new Action.Log("votes back on build " + vote.build() + ": " + reason));
