--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -68,6 +68,7 @@
     private static final long SPELL_PATIENCE = 10 * SECOND;
     private static final double SHARED = 0.4;
     private static final double IN_STEP = 0.7;
+    private static final double FIT = 0.8;
     private static final long AFTER_RELEASE = 25 * SECOND;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
@@ -876,7 +877,9 @@
                 yy += y * y;
             }
         }
-        if (before == 0 || xx == 0 || xy / xx * most < SHARED * before) {
+        double least = 0.7 * most;
+        boolean early = stage == 0 || points.stream().filter(p -> p[0] > least).count() < 3;
+        if (before == 0 || early || xx == 0 || xy / xx * most < SHARED * before) {
             return null;
         }
         double inStep = yy - xy * xy / xx;
@@ -888,7 +891,7 @@
                 spell = Math.min(spell, yy - sum * sum / (to - from + 1));
             }
         }
-        boolean shared = inStep < IN_STEP * spell;
+        boolean shared = inStep < IN_STEP * spell && inStep < (1 - FIT) * yy;
         return shared ? "slows all by " + xy / xx * most + ", unexplained " + inStep + ", by a spell " + spell : null;
     }
 
@@ -913,7 +916,7 @@
             seen += counts ? 1 : 0;
             most += counts && m.pace > (1 + SLOWER) / 2 ? 1 : 0;
         }
-        if (a.rated < LEAST || b.rated < LEAST || most < 2 || most * 6 < seen * 5) {
+        if (a.rated < 2 * LEAST || b.rated < 2 * LEAST || most < 2 || most * 6 < seen * 5) {
             return null;
         }
         double x = a.ratio / a.rated;
