--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -1,34 +1,15 @@
 package laurelkeel.decision;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.zip.CRC32;
 import laurelkeel.api.Action;
 import laurelkeel.api.Action.Verdict;
 import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
-import laurelkeel.api.Event.Answer;
-import laurelkeel.api.Event.ListKind;
-import laurelkeel.api.Event.Listed;
-import laurelkeel.api.Event.MachineState;
-import laurelkeel.api.Event.Outcome;
-import laurelkeel.api.Event.Phase;
+import laurelkeel.api.Event.*;
 import laurelkeel.api.Settings;
-import laurelkeel.api.Settings.Control;
-import laurelkeel.api.Settings.Effect;
-import laurelkeel.api.Settings.Group;
-import laurelkeel.api.Settings.Route;
+import laurelkeel.api.Settings.*;
 
 /**
  * All decisions of one front: which build and machine each req goes to, when it is tried again or given up,
@@ -99,7 +80,7 @@
 
     /** One req this front has taken. */
     private static final class Rq {
-        final Event.Req is;
+        final Req is;
         final long takenAt;
         final double fraction;
         final long endBy;
@@ -114,7 +95,7 @@
         boolean wantEnd;
         boolean ended;
 
-        Rq(Event.Req is, long takenAt, double fraction) {
+        Rq(Req is, long takenAt, double fraction) {
             this.is = is;
             this.takenAt = takenAt;
             this.fraction = fraction;
@@ -182,6 +163,21 @@
         }
     }
 
+    /** How long one route's answers take: usually, by crowding, and in calm. */
+    private static final class Times {
+        final double[] usual = new double[LEVELS];
+        final int[] seen = new int[LEVELS];
+        double spread = 0.5;
+        double calm;
+        double runSum;
+        int runCount;
+        boolean ran;
+
+        Times(double calm) {
+            this.calm = calm;
+        }
+    }
+
     private record Alarm(long at, long order, Rq rq) { }
 
     // ---- the instance's own
@@ -197,13 +193,7 @@
     private long alarmCount;
     private long armedFor = Long.MAX_VALUE;
     private long nextTick;
-    private final double[][] usual;
-    private final int[][] usualSeen;
-    private final double[] spread;
-    private final double[] calm;
-    private final double[] windowSum;
-    private final int[] windowCount;
-    private final int[] calmRuns;
+    private final List<Times> times = new ArrayList<>();
     private double retryTokens = RETRY_MOST;
     private double places;
 
@@ -244,17 +234,8 @@
     public Shifter(Settings settings, long seed) {
         this.set = settings;
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
-        int routes = settings.routes().size();
-        usual = new double[routes][LEVELS];
-        usualSeen = new int[routes][LEVELS];
-        spread = new double[routes];
-        calm = new double[routes];
-        windowSum = new double[routes];
-        windowCount = new int[routes];
-        calmRuns = new int[routes];
-        for (int i = 0; i < routes; i++) {
-            calm[i] = settings.routes().get(i).objective() / 5.0;
-            spread[i] = 0.5;
+        for (Route route : settings.routes()) {
+            times.add(new Times(route.objective() / 5.0));
             taken.add(new ArrayDeque<>());
             exposed.add(new ArrayDeque<>());
         }
@@ -269,7 +250,7 @@
         }
         findBuilds();
         while (!alarms.isEmpty() && alarms.peek().at <= now) {
-            touch(alarms.poll().rq);
+            touched.add(alarms.poll().rq);
         }
         if (now >= nextTick) {
             nextTick = now + TICK;
@@ -284,33 +265,33 @@
     }
 
     private void learn(Event e) {
-        if (e instanceof Event.Req r) {
+        if (e instanceof Req r) {
             take(r);
-        } else if (e instanceof Event.TryEnded t) {
+        } else if (e instanceof TryEnded t) {
             tryEnded(t);
-        } else if (e instanceof Event.ClientLeft c) {
+        } else if (e instanceof ClientLeft c) {
             Rq rq = reqs.get(c.req());
             if (rq != null) {
                 rq.ended = true;
-                touch(rq);
+                touched.add(rq);
             }
-        } else if (e instanceof Event.MachineList l) {
+        } else if (e instanceof MachineList l) {
             readList(l);
-        } else if (e instanceof Event.ReleaseNews n) {
+        } else if (e instanceof ReleaseNews n) {
             readNews(n);
-        } else if (e instanceof Event.Complaint c) {
+        } else if (e instanceof Complaint c) {
             Machine m = machines.get(c.machine());
             if (m != null) {
                 cell(now - c.sentAgo(), m.build, c.route()).complaints++;
             }
-        } else if (e instanceof Event.TimerDue) {
+        } else if (e instanceof TimerDue) {
             armedFor = Long.MAX_VALUE;
         }
     }
 
     // ---- the list
 
-    private void readList(Event.MachineList l) {
+    private void readList(MachineList l) {
         if (l.kind() == ListKind.FAILED) {
             watching = false;
             listAsked = false;
@@ -354,7 +335,7 @@
         machines.values().removeIf(m -> !m.live && m.open == 0 && !named.contains(m.id));
     }
 
-    private void readNews(Event.ReleaseNews n) {
+    private void readNews(ReleaseNews n) {
         if (n.toVote() && asked != null) {
             if (n.answer() == Answer.OK) {
                 stands = asked;
@@ -500,25 +481,21 @@
 
     // ---- reqs
 
-    private void touch(Rq rq) {
-        touched.add(rq);
-    }
-
     private void alarm(Rq rq, long at) {
         alarms.add(new Alarm(Math.max(at, now + 1), alarmCount++, rq));
     }
 
-    private void take(Event.Req r) {
+    private void take(Req r) {
         taken.get(scope(r.route())).addLast(now);
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
         reqs.put(r.id(), rq);
         alarm(rq, rq.endBy);
         alarm(rq, now + set.routes().get(r.route()).objective() - LAST_CALL);
-        touch(rq);
+        touched.add(rq);
     }
 
-    private void tryEnded(Event.TryEnded t) {
+    private void tryEnded(TryEnded t) {
         Rq rq = reqs.get(t.req());
         if (rq == null || rq.out == null || rq.out.no != t.tryNo()) {
             return;
@@ -548,10 +525,10 @@
             rq.met = new HashSet<>(rq.met);
             rq.met.add(was.to);
         }
-        touch(rq);
+        touched.add(rq);
     }
 
-    private void judgeMachine(Try was, Event.TryEnded t, Rq rq) {
+    private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
         if (m.build != was.build || m.started > was.sentAt) {
             return;
@@ -583,9 +560,10 @@
     /** Like against like: an answer's time is held against the earlier build's at machines as crowded as this one. */
     private void learnPace(Machine m, Try was, long took, int r) {
         int level = was.level;
+        Times t = times.get(r);
         // a crowd never met before proves nothing: plain overload would pass for a slow build
-        if (usualSeen[r][level] >= 8) {
-            double ratio = took / usual[r][level];
+        if (t.seen[level] >= 8) {
+            double ratio = took / t.usual[level];
             if (was.settled) {
                 Cell c = cell(now, was.build, r);
                 c.rated++;
@@ -598,25 +576,26 @@
             m.pace += (Math.min(4, ratio) - m.pace) * 0.06;
             m.paced += was.settled ? 1 : 0;
             m.pacedAt = now;
-            spread[r] += (Math.abs(ratio - 1) - spread[r]) * 0.02;
+            t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
-        if (judged() < 0 || was.build != judged() && usualSeen[r][level] < 8) {
-            usualSeen[r][level]++;
-            usual[r][level] += (took - usual[r][level]) * Math.max(0.05, 1.0 / usualSeen[r][level]);
+        if (judged() < 0 || was.build != judged() && t.seen[level] < 8) {
+            t.seen[level]++;
+            t.usual[level] += (took - t.usual[level]) * Math.max(0.05, 1.0 / t.seen[level]);
         }
     }
 
     /** A route's calm time: the least mean of a run of its answers. What an answer took beyond it was waiting. */
     private void learnWait(Machine m, Try was, long took, int r) {
-        windowSum[r] += took;
-        if (++windowCount[r] == CALM_RUN) {
-            double mean = windowSum[r] / CALM_RUN;
-            calm[r] = calmRuns[r]++ == 0 ? mean : Math.min(calm[r] * CALM_DRIFT, mean);
-            windowSum[r] = 0;
-            windowCount[r] = 0;
-        }
-        m.wait += (took - calm[r] - m.wait) * 0.15;
+        Times t = times.get(r);
+        t.runSum += took;
+        if (++t.runCount == CALM_RUN) {
+            t.calm = t.ran ? Math.min(t.calm * CALM_DRIFT, t.runSum / CALM_RUN) : t.runSum / CALM_RUN;
+            t.ran = true;
+            t.runSum = 0;
+            t.runCount = 0;
+        }
+        m.wait += (took - t.calm - m.wait) * 0.15;
         m.usualOpen += (was.openThen - m.usualOpen) * 0.15;
     }
 
@@ -625,12 +604,12 @@
     }
 
     private double slack(int r) {
-        return set.routes().get(r).objective() - 1.5 * calm[r];
+        return set.routes().get(r).objective() - 1.5 * times.get(r).calm;
     }
 
     private double density(int r) {
         double earnings = set.routes().get(r).earnings();
-        return set.earningsByWork() ? earnings : earnings / calm[r];
+        return set.earningsByWork() ? earnings : earnings / times.get(r).calm;
     }
 
     /** The wait at which a route gives way: its own slack, or earlier for the sake of routes that earn more. */
@@ -771,11 +750,12 @@
 
     private long limit(Rq rq) {
         Route route = set.routes().get(rq.is.route());
-        int r = rq.is.route();
         long left = rq.endBy - now;
         boolean again = route.effect() != Effect.NON_RETRIABLE && rq.tries + 1 < set.allowed().tries();
-        double typical = usualSeen[r][level(rq.want.open)] < 8 ? calm[r] : usual[r][level(rq.want.open)];
-        double patient = Math.max(typical * (1 + 6 * spread[r]), 0.35 * route.objective());
+        Times t = times.get(rq.is.route());
+        int level = level(rq.want.open);
+        double typical = t.seen[level] < 8 ? t.calm : t.usual[level];
+        double patient = Math.max(typical * (1 + 6 * t.spread), 0.35 * route.objective());
         if (!again || patient + typical > route.objective() || retryTokens < 2) {
             return left;
         }
@@ -807,51 +787,45 @@
         return cells[route];
     }
 
-    private void judgeBuild(Try was, Event.TryEnded t, Rq rq) {
+    private void judgeBuild(Try was, TryEnded t, Rq rq) {
         boolean error = t.outcome() == Outcome.ERROR;
-        boolean time = t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        if (!was.settled || !error && !time || was.to.strikes >= 2) {
-            return;
+        boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
+        if (was.settled && counts && was.to.strikes < 2) {
+            Cell c = cell(now, was.build, rq.is.route());
+            c.tries++;
+            c.fails += error ? 1 : 0;
         }
-        Cell c = cell(now, was.build, rq.is.route());
-        c.tries++;
-        c.fails += error ? 1 : 0;
     }
 
     /** What speaks against cand beside the earlier build, over the seconds both were seen; null for nothing. */
     private String against(int cand, int rev) {
         int routes = set.routes().size();
-        Cell[] a = new Cell[routes + 1];
-        Cell[] b = new Cell[routes + 1];
         for (int r = 0; r <= routes; r++) {
-            a[r] = new Cell();
-            b[r] = new Cell();
+            Cell a = sum(cand, rev, r);
+            Cell b = sum(rev, cand, r);
+            if (leads(a.fails, a.tries, b.fails, b.tries, r < routes ? LEAST / 2 : LEAST)) {
+                return "errors " + a.fails + " of " + a.tries + ", earlier " + b.fails + " of " + b.tries;
+            }
+            if (a.complaints >= LEAST_COMPLAINTS && leads(a.complaints, a.tries, b.complaints, b.tries, LEAST)) {
+                return "complaints " + a.complaints + " of " + a.tries;
+            }
         }
+        String slow = slower(cand, sum(cand, rev, routes), sum(rev, cand, routes));
+        return slow == null ? slowsAll() : slow;
+    }
+
+    /** A build's outcomes on one route, or on all past the last, over the seconds in which both builds were seen. */
+    private Cell sum(int build, int beside, int route) {
+        Cell sum = new Cell();
         for (Second second : seconds.values()) {
-            Cell[] x = second.builds.get(cand);
-            Cell[] y = second.builds.get(rev);
-            for (int r = 0; r < routes && x != null && y != null; r++) {
-                if (x[r] != null) {
-                    a[r].add(x[r]);
-                    a[routes].add(x[r]);
-                }
-                if (y[r] != null) {
-                    b[r].add(y[r]);
-                    b[routes].add(y[r]);
+            Cell[] cells = second.builds.get(build);
+            for (int r = 0; cells != null && second.builds.containsKey(beside) && r < cells.length; r++) {
+                if (cells[r] != null && (r == route || route == cells.length)) {
+                    sum.add(cells[r]);
                 }
             }
         }
-        for (int r = 0; r <= routes; r++) {
-            if (leads(a[r].fails, a[r].tries, b[r].fails, b[r].tries, r < routes ? LEAST / 2 : LEAST)) {
-                return "errors " + a[r].fails + " of " + a[r].tries + ", earlier " + b[r].fails + " of " + b[r].tries;
-            }
-            if (a[r].complaints >= LEAST_COMPLAINTS
-                    && leads(a[r].complaints, a[r].tries, b[r].complaints, b[r].tries, LEAST)) {
-                return "complaints " + a[r].complaints + " of " + a[r].tries;
-            }
-        }
-        String slow = slower(cand, a[routes], b[routes]);
-        return slow == null ? slowsAll() : slow;
+        return sum;
     }
 
     /**
