--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -45,8 +45,6 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
-    private static final double SPELL = 1.35;
-    private static final long SPELL_PATIENCE = 10 * SECOND;
     private static final double SHARED = 0.4;
     private static final double IN_STEP = 0.7;
     private static final double FIT = 0.8;
@@ -874,13 +872,6 @@
                 .average().orElse(0);
     }
 
-    private boolean slowSpell() {
-        double lately = seconds.tailMap(now / SECOND - 3).values().stream().mapToDouble(Second::pace)
-                .filter(p -> p > 0).average().orElse(0);
-        double before = paceBefore();
-        return before > 0 && lately > SPELL * before;
-    }
-
     /** Slow is a build that is surely slower by the answers and on most of its machines: one machine is no build. */
     private String slower(int cand, Cell a, Cell b) {
         int most = 0;
@@ -928,8 +919,6 @@
             for (Machine m : machines.values()) {
                 ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
             }
-            // no step in a spell that slows everything: what it hides cannot be judged, and starts make it worse
-            ready += slowSpell() ? SPELL_PATIENCE : 0;
             boolean on = now >= ready + READY && hasLive(newsBuild) && set.rollout().control() != Control.CLOCK;
             return on ? Verdict.ON : Verdict.NONE;
         }
@@ -947,9 +936,7 @@
         Verdict v = verdict();
         boolean same = stands != null && stands.build() == newsBuild && stands.verdict() == v
                 && (v != Verdict.ON || stands.stage() == stage);
-        boolean standing = stands != null && now < stoodAt + set.rollout().voteLife();
-        if (v == Verdict.NONE ? !standing || stands.verdict() != Verdict.ON || stands.stage() != stage
-                || stands.build() != newsBuild : same && now < stoodAt + set.rollout().voteLife() * 6 / 10) {
+        if (v == Verdict.NONE || same && now < stoodAt + set.rollout().voteLife() * 6 / 10) {
             return null;
         }
         return new Action.Vote(newsBuild, stage, v);
