--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -12,13 +12,13 @@
 import laurelkeel.api.Settings.*;
 
 /**
- * All decisions of one front: which build and machine each req goes to, when it is tried again or given up,
- * and how the front votes on a rollout.
+ * All decisions of one front: which build and machine each req goes to, when it is tried again or given up, and
+ * how the front votes on a rollout.
  *
- * <p>Callers make one Shifter a front (Decider.Maker) and call decide with the present moment and everything
- * learned since; the actions that come back take effect at that moment, in order. The interface is the package
- * laurelkeel.api: Event in, Action out, Settings at the start. Nothing is shared between instances; the only
- * clock is the caller's, in tenths of a millisecond. The mechanism is explained in docs/design.md.
+ * <p>Callers make one Shifter a front (Decider.Maker) and call decide with the present moment and all learned
+ * since; the actions that come back take effect at that moment, in order. The interface is the package
+ * laurelkeel.api: Event in, Action out, Settings at the start. Instances share nothing; the only clock is the
+ * caller's, in tenths of a millisecond. The mechanism is explained in docs/design.md.
  */
 public final class Shifter implements Decider {
     private static final long SECOND = 10_000;
@@ -147,14 +147,14 @@
         }
     }
 
-    /** One second of the instance: outcomes by build and route, and how slow the earlier build's machines were. */
+    /** One second of the instance: outcomes by build and route, and how slow each machine was. */
     private static final class Second {
         final Map<Integer, Cell[]> builds = new TreeMap<>();
         int sends;
         int trialSends;
         final Map<String, double[]> paces = new TreeMap<>();
 
-        /** The median over machines, so that a few slow machines do not pass for a slow fleet; 0 for too few. */
+        /** The median over machines: a few slow machines must not pass for a slow fleet; 0 for too few. */
         double pace() {
             double[] means = paces.values().stream().mapToDouble(v -> v[0] / v[1]).sorted().toArray();
             return means.length < 3 ? 0 : (means[(means.length - 1) / 2] + means[means.length / 2]) / 2;
@@ -206,7 +206,8 @@
     private int rival = -1;
     private double baseAtStart;
     private double threshold;
-    private final Set<String> pins = new HashSet<>();
+    private final Map<String, Integer> pins = new HashMap<>();
+    private int good = -1;
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
@@ -354,7 +355,13 @@
         cap = n.cap();
         if (phase == Phase.GOING_BACK || phase == Phase.WITHDRAWN) {
             takenOff.add(newsBuild);
+            pins.values().removeIf(b -> b == newsBuild);
+        } else if (phase == Phase.RELEASED) {
+            // nothing goes below a released build again, so its keys need no pins
+            good = newsBuild;
+            pins.values().removeIf(b -> b <= good);
         }
+        good = takenOff.contains(good) ? -1 : good;
     }
 
     private double warmth(Machine m) {
@@ -374,7 +381,7 @@
         return machines.values().stream().anyMatch(m -> m.live && m.build == build);
     }
 
-    /** Which build is on trial and which is the earlier one; a build the news does not name yet is on trial. */
+    /** Which build is on trial and which is the earlier one; a build not yet in the news is on trial. */
     private void findBuilds() {
         int newest = newsBuild;
         for (Machine m : machines.values()) {
@@ -387,8 +394,8 @@
         } else {
             double most = 0;
             for (Machine m : machines.values()) {
-                boolean open = m.live && (newsBuild < 0 || m.build < newsBuild) && !takenOff.contains(m.build);
-                if (open && warmSize(m.build) > most) {
+                boolean open = m.live && (newsBuild < 0 || m.build < newsBuild) && m.build >= good;
+                if (open && !takenOff.contains(m.build) && warmSize(m.build) > most) {
                     most = warmSize(m.build);
                     earlier = m.build;
                 }
@@ -399,7 +406,6 @@
             trial = onTrial;
             threshold = 0;
             baseAtStart = 0;
-            pins.clear();
             exposed.forEach(ArrayDeque::clear);
         }
         base = earlier;
@@ -458,7 +464,8 @@
 
     private boolean trialOpen(Rq rq, boolean pinned) {
         Route route = set.routes().get(rq.is.route());
-        if (trialCap() <= 0 || trialStage() < set.rollout().guardedStages() && route.effect() != Effect.RETRIABLE) {
+        boolean guarded = trialStage() < set.rollout().guardedStages();
+        if (trialCap() <= 0 || guarded && route.effect() != Effect.RETRIABLE) {
             return false;
         }
         int s = scope(rq.is.route());
@@ -515,8 +522,10 @@
         judgeBuild(was, t, rq);
         if (t.outcome() == Outcome.COMPLETED) {
             completed.addLast(now);
-            if (was.build == trial && rq.is.key() != null && set.rollout().keysStay()) {
-                pins.add(rq.is.key());
+            // by the build that answered: one not yet announced can leave the list while its answer is under way
+            boolean ahead = was.build > base && !takenOff.contains(was.build);
+            if (ahead && rq.is.key() != null && set.rollout().keysStay()) {
+                pins.merge(rq.is.key(), was.build, Math::max);
             }
         } else {
             rq.keptOffTrial |= was.build == trial;
@@ -555,13 +564,13 @@
         return (int) Math.min(LEVELS - 1, Math.round(2 * Math.log(Math.max(1, open)) / Math.log(2)));
     }
 
-    /** Like against like: an answer's time is held against the earlier build's at machines as crowded as this one. */
+    /** Like against like: an answer's time is held against those from machines as crowded as this one. */
     private void learnPace(Machine m, Try was, long took, int r) {
         int level = was.level;
         Times t = times.get(r);
         // a crowd never met before proves nothing: plain overload would pass for a slow build
         if (t.seen[level] >= 8) {
-            double ratio = took / t.usual[level];
+            double ratio = took / Math.max(1, t.usual[level]);
             if (was.settled) {
                 Cell c = cell(now, was.build, r);
                 c.rated++;
@@ -583,7 +592,7 @@
         }
     }
 
-    /** A route's calm time: the least mean of a run of its answers. What an answer took beyond it was waiting. */
+    /** A route's calm time: the least mean of a run of its answers. What one took beyond it was waiting. */
     private void learnWait(Machine m, Try was, long took, int r) {
         Times t = times.get(r);
         t.runSum += took;
@@ -610,7 +619,7 @@
         return set.earningsByWork() ? earnings : earnings / times.get(r).calm;
     }
 
-    /** The wait at which a route gives way: its own slack, or earlier for the sake of routes that earn more. */
+    /** The wait at which a route gives way: its own slack, or less for the sake of routes that earn more. */
     private double yieldAt(int r) {
         double least = slack(r);
         for (int q = 0; q < set.routes().size(); q++) {
@@ -663,7 +672,7 @@
             // queues that only hold late answers never empty; against every cause of a standing queue
             rq.wantEnd = expectedWait(rq.out.to) > slack(rq.is.route()) / 2;
         } else if (rq.out == null) {
-            // turned-away tries count too: a fleet that is full must not be asked by every req at every machine
+            // turned-away tries count too: a full fleet must not be asked by every req at every machine
             boolean again = rq.tries > 0;
             boolean may = mayResend(rq) && (!again || retryTokens >= 1);
             rq.want = may ? choose(rq) : null;
@@ -680,9 +689,9 @@
     }
 
     private Machine choose(Rq rq) {
-        boolean pinned = rq.is.key() != null && pins.contains(rq.is.key());
-        if (pinned) {
-            return trialOpen(rq, true) ? pick(trial, rq) : null;
+        int pin = rq.is.key() == null ? -1 : pins.getOrDefault(rq.is.key(), -1);
+        if (pin > base) {
+            return pin == trial && trialOpen(rq, true) ? pick(trial, rq) : null;
         }
         double at = rq.fraction >= 0 ? rq.fraction : fractionOf(rq.is.key(), trial);
         boolean room = trial >= 0 && pins.size() < MOST_PINS && trialOpen(rq, false);
@@ -795,7 +804,7 @@
         }
     }
 
-    /** What speaks against cand beside the earlier build, over the seconds both were seen; null for nothing. */
+    /** What speaks against cand beside the earlier build, over the seconds both were seen; or null. */
     private String against(int cand, int rev) {
         int routes = set.routes().size();
         for (int r = 0; r <= routes; r++) {
@@ -804,7 +813,8 @@
             if (leads(a.fails, a.tries, b.fails, b.tries, r < routes ? LEAST / 2 : LEAST)) {
                 return "errors " + a.fails + " of " + a.tries + ", earlier " + b.fails + " of " + b.tries;
             }
-            if (a.complaints >= LEAST_COMPLAINTS && leads(a.complaints, a.tries, b.complaints, b.tries, LEAST)) {
+            boolean enough = a.complaints >= LEAST_COMPLAINTS;
+            if (enough && leads(a.complaints, a.tries, b.complaints, b.tries, LEAST)) {
                 return "complaints " + a.complaints + " of " + a.tries;
             }
         }
@@ -812,7 +822,7 @@
         return slow == null ? slowsAll() : slow;
     }
 
-    /** A build's outcomes on one route, or on all past the last, over the seconds in which both builds were seen. */
+    /** A build's outcomes on one route, or on all past the last, over the seconds both builds were seen. */
     private Cell sum(int build, int beside, int route) {
         Cell sum = new Cell();
         for (Second second : seconds.values()) {
@@ -827,9 +837,9 @@
     }
 
     /**
-     * Harm that all machines share: they slow down in step with the trial's traffic and ran well before it. A slow
-     * spell from elsewhere starts and ends without regard to that share, so the best single spell that could explain
-     * the seconds must explain them clearly worse.
+     * Harm that all machines share: they slow down in step with the trial's traffic and ran well before it. A
+     * slow spell from elsewhere starts and ends without regard to that share, so the best single spell that could
+     * explain the seconds must explain them clearly worse.
      */
     private String slowsAll() {
         double before = paceBefore();
@@ -864,15 +874,16 @@
             }
         }
         boolean shared = inStep < IN_STEP * spell && inStep < (1 - FIT) * yy;
-        return shared ? "slows all by " + xy / xx * most + ", unexplained " + inStep + ", by a spell " + spell : null;
+        String rest = ", unexplained " + inStep + ", by a spell " + spell;
+        return shared ? "slows all by " + xy / xx * most + rest : null;
     }
 
     private double paceBefore() {
-        return seconds.values().stream().filter(s -> s.trialSends == 0).mapToDouble(Second::pace).filter(p -> p > 0)
-                .average().orElse(0);
+        return seconds.values().stream().filter(s -> s.trialSends == 0).mapToDouble(Second::pace)
+                .filter(p -> p > 0).average().orElse(0);
     }
 
-    /** Slow is a build that is surely slower by the answers and on most of its machines: one machine is no build. */
+    /** Slow is a build surely slower by its answers and on most of its machines: one machine is no build. */
     private String slower(int cand, Cell a, Cell b) {
         int most = 0;
         int seen = 0;
@@ -886,7 +897,8 @@
         }
         double x = a.ratio / a.rated;
         double y = Math.max(1, b.ratio / b.rated);
-        double doubt = Math.sqrt((a.square / a.rated - x * x) / a.rated + (b.square / b.rated - y * y) / b.rated);
+        double doubt =
+                Math.sqrt((a.square / a.rated - x * x) / a.rated + (b.square / b.rated - y * y) / b.rated);
         boolean slow = x > SLOWER * y && x - (1 + SLOWER) / 2 * y > SURE * doubt;
         return slow ? "slow " + x + " of " + a.rated + ", earlier " + y + " of " + b.rated : null;
     }
@@ -919,7 +931,8 @@
             for (Machine m : machines.values()) {
                 ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
             }
-            boolean on = now >= ready + READY && hasLive(newsBuild) && set.rollout().control() != Control.CLOCK;
+            boolean counted = set.rollout().control() != Control.CLOCK;
+            boolean on = now >= ready + READY && hasLive(newsBuild) && counted;
             return on ? Verdict.ON : Verdict.NONE;
         }
         return Verdict.NONE;
