--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -52,7 +52,7 @@
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
     private static final double CALM_DRIFT = 1.02;
-    private static final double YIELD = 1;
+    private static final double YIELD = 0.7;
 
     /** One upstream try. */
     private static final class Try {
@@ -621,11 +621,11 @@
 
     /** The wait at which a route gives way: its own slack, or less for the sake of routes that earn more. */
     private double yieldAt(int r) {
-        double least = 1.5 * slack(r);
+        double least = slack(r);
         for (int q = 0; q < set.routes().size(); q++) {
             double more = density(q) / density(r);
             if (more >= 0.8) {
-                least = Math.min(least, slack(q) * (more > 1.25 ? YIELD : 1.5));
+                least = Math.min(least, slack(q) * (more > 1.25 ? YIELD : 1));
             }
         }
         return least;
