--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -35,7 +35,7 @@
     private static final int LEAST = 20;
     private static final int LEAST_FAILS = 3;
     private static final int LEAST_COMPLAINTS = 5;
-    private static final double SLOWER = 1.5;
+    private static final double SLOWER = 1.75;
     private static final long MEMORY = 30 * SECOND;
     private static final long TICK = SECOND / 10;
     private static final long LAST_CALL = 150;
@@ -571,9 +571,11 @@
         // a crowd never met before proves nothing: plain overload would pass for a slow build
         if (t.seen[level] >= 8) {
             double ratio = took / Math.max(1, t.usual[level]);
-            if (was.settled) {
+            // warm by the settings' own word: a machine still warming up is slow for no fault of its build
+            if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 Cell c = cell(now, was.build, r);
                 c.rated++;
+                m.paced++;
                 c.ratio += Math.min(4, ratio);
                 c.square += Math.min(4, ratio) * Math.min(4, ratio);
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
@@ -581,8 +583,7 @@
                 sum[1]++;
             }
             m.pace += (Math.min(4, ratio) - m.pace) * 0.06;
-            m.paced += was.settled ? 1 : 0;
-            m.pacedAt = now;
+                        m.pacedAt = now;
             t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
