--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -114,7 +114,6 @@
         double credit;
         double pace = 1;
         int paced;
-        long pacedAt;
         double wait;
         double usualOpen = 1;
         int strikes;
@@ -137,6 +136,12 @@
         double ratio;
         double square;
 
+        void rate(double how) {
+            rated++;
+            ratio += how;
+            square += how * how;
+        }
+
         void add(Cell o) {
             tries += o.tries;
             fails += o.fails;
@@ -570,20 +575,18 @@
         Times t = times.get(r);
         // a crowd never met before proves nothing: plain overload would pass for a slow build
         if (t.seen[level] >= 8) {
-            double ratio = took / Math.max(1, t.usual[level]);
+            double ratio = Math.min(4, took / Math.max(1, t.usual[level]));
+            m.pace += (ratio - m.pace) * 0.06;
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
-                Cell c = cell(now, was.build, r);
-                c.rated++;
                 m.paced++;
-                c.ratio += Math.min(4, ratio);
-                c.square += Math.min(4, ratio) * Math.min(4, ratio);
+                cell(now, was.build, r).rate(ratio);
+            }
+            if (was.settled) {
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
-                sum[0] += Math.min(4, ratio);
+                sum[0] += ratio;
                 sum[1]++;
             }
-            m.pace += (Math.min(4, ratio) - m.pace) * 0.06;
-                        m.pacedAt = now;
             t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
