--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -45,9 +45,8 @@
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
-    private static final double SHARED = 0.4;
-    private static final double IN_STEP = 0.7;
-    private static final double FIT = 0.8;
+    private static final double SHARED = 1.4;
+    private static final int LASTING = 15;
     private static final long AFTER_RELEASE = 25 * SECOND;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
@@ -382,10 +381,6 @@
         return sum;
     }
 
-    private boolean hasLive(int build) {
-        return machines.values().stream().anyMatch(m -> m.live && m.build == build);
-    }
-
     /** Which build is on trial and which is the earlier one; a build not yet in the news is on trial. */
     private void findBuilds() {
         int newest = newsBuild;
@@ -841,45 +836,20 @@
     }
 
     /**
-     * Harm that all machines share: they slow down in step with the trial's traffic and ran well before it. A
-     * slow spell from elsewhere starts and ends without regard to that share, so the best single spell that could
-     * explain the seconds must explain them clearly worse.
+     * Harm that all machines share: nearly all of them have been slow for longer than outside spells last, ever
+     * since the trial had traffic, and were not before it.
      */
     private String slowsAll() {
         double before = paceBefore();
-        List<double[]> points = new ArrayList<>();
-        double most = 0;
-        double xy = 0;
-        double xx = 0;
-        double yy = 0;
-        for (Second s : seconds.values()) {
-            double x = s.trialSends / (double) Math.max(1, s.sends);
-            double y = s.pace() - before;
-            if (y > -before) {
-                points.add(new double[] {x, y});
-                most = Math.max(most, x);
-                xy += x * y;
-                xx += x * x;
-                yy += y * y;
-            }
-        }
-        double least = 0.7 * most;
-        boolean early = stage == 0 || points.stream().filter(p -> p[0] > least).count() < 3;
-        if (before == 0 || early || xx == 0 || xy / xx * most < SHARED * before) {
-            return null;
-        }
-        double inStep = yy - xy * xy / xx;
-        double spell = yy;
-        for (int from = 0; from < points.size(); from++) {
-            double sum = 0;
-            for (int to = from; to < points.size(); to++) {
-                sum += points.get(to)[1];
-                spell = Math.min(spell, yy - sum * sum / (to - from + 1));
-            }
+        int seen = 0;
+        int slow = 0;
+        for (Second s : seconds.tailMap(now / SECOND - LASTING).values()) {
+            double pace = s.pace();
+            seen += pace > 0 ? 1 : 0;
+            slow += pace > SHARED * before && s.trialSends > 0.05 * s.sends ? 1 : 0;
         }
-        boolean shared = inStep < IN_STEP * spell && inStep < (1 - FIT) * yy;
-        String rest = ", unexplained " + inStep + ", by a spell " + spell;
-        return shared ? "slows all by " + xy / xx * most + rest : null;
+        boolean lasts = before > 0 && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
+        return lasts ? "slows all in " + slow + " of " + seen + " seconds, before " + before : null;
     }
 
     private double paceBefore() {
@@ -936,7 +906,7 @@
                 ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
             }
             boolean counted = set.rollout().control() != Control.CLOCK;
-            boolean on = now >= ready + READY && hasLive(newsBuild) && counted;
+            boolean on = now >= ready + READY && counted;
             return on ? Verdict.ON : Verdict.NONE;
         }
         return Verdict.NONE;
