--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -46,7 +46,7 @@
     private static final double PILE = 1.3;
     private static final double COLD_USE = 0.7;
     private static final double SHARED = 1.4;
-    private static final int LASTING = 15;
+    private static final int LASTING = 10;
     private static final long AFTER_RELEASE = 25 * SECOND;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
