--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -568,9 +568,14 @@
     private void learnPace(Machine m, Try was, long took, int r) {
         int level = was.level;
         Times t = times.get(r);
-        // a crowd never met before proves nothing: plain overload would pass for a slow build
-        if (t.seen[level] >= 8) {
-            double ratio = Math.min(4, took / Math.max(1, t.usual[level]));
+        int known = level;
+        while (known > 0 && t.seen[known] < 8) {
+            known--;
+        }
+        if (t.seen[known] >= 8) {
+            // a crowd never met before is taken to wait in turn, or plain overload would pass for a slow build
+            double usual = Math.max(1, t.usual[known]) * Math.pow(2, (level - known) / 2.0);
+            double ratio = Math.min(4, took / usual);
             m.pace += (ratio - m.pace) * 0.06;
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
