--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -573,8 +573,8 @@
             known--;
         }
         if (t.seen[known] >= 8) {
-            // a crowd never met before is taken to wait in turn, or plain overload would pass for a slow build
-            double usual = Math.max(1, t.usual[known]) * Math.pow(2, (level - known) / 2.0);
+            // a crowd never met before is taken to wait nearly in turn, or plain overload would pass for a slow build
+            double usual = Math.max(1, t.usual[known]) * Math.pow(2, (level - known) / 3.0);
             double ratio = Math.min(4, took / usual);
             m.pace += (ratio - m.pace) * 0.06;
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
