--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -47,6 +47,7 @@
     private static final double COLD_USE = 0.7;
     private static final double SHARED = 1.4;
     private static final int LASTING = 10;
+    private static final double MORE = 1.3;
     private static final long AFTER_RELEASE = 25 * SECOND;
     private static final int LEVELS = 12;
     private static final int CALM_RUN = 100;
@@ -846,12 +847,16 @@
      */
     private String slowsAll() {
         double before = paceBefore();
+        double usual = seconds.values().stream().filter(s -> s.trialSends == 0).mapToInt(s -> s.sends).average()
+                .orElse(0);
         int seen = 0;
         int slow = 0;
         for (Second s : seconds.tailMap(now / SECOND - LASTING).values()) {
             double pace = s.pace();
             seen += pace > 0 ? 1 : 0;
-            slow += pace > SHARED * before && s.trialSends > 0.05 * s.sends ? 1 : 0;
+            // under more tries than before the trial, slowness proves nothing
+            boolean calm = s.trialSends > 0.05 * s.sends && s.sends < MORE * usual;
+            slow += pace > SHARED * before && calm ? 1 : 0;
         }
         boolean lasts = before > 0 && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
         return lasts ? "slows all in " + slow + " of " + seen + " seconds, before " + before : null;
