Count the tries over the whole span of slowness

It guards against bursts and failed over traffic; it can hide harm that comes with a real rise in traffic.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -849,16 +849,17 @@
         double before = paceBefore();
         double usual = seconds.values().stream().filter(s -> s.trialSends == 0).mapToInt(s -> s.sends).average()
                 .orElse(0);
+        int sends = 0;
         int seen = 0;
         int slow = 0;
         for (Second s : seconds.tailMap(now / SECOND - LASTING).values()) {
             double pace = s.pace();
             seen += pace > 0 ? 1 : 0;
-            // under more tries than before the trial, slowness proves nothing
-            boolean calm = s.trialSends > 0.05 * s.sends && s.sends < MORE * usual;
-            slow += pace > SHARED * before && calm ? 1 : 0;
+            slow += pace > SHARED * before && s.trialSends > 0.05 * s.sends ? 1 : 0;
+            sends += s.sends;
         }
-        boolean lasts = before > 0 && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
+        // under more tries than before the trial, slowness proves nothing
+        boolean lasts = before > 0 && sends < MORE * usual * LASTING && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
         return lasts ? "slows all in " + slow + " of " + seen + " seconds, before " + before : null;
     }
 
