--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -155,7 +155,6 @@
     /** One second of the instance: outcomes by build and route, and how slow each machine was. */
     private static final class Second {
         final Map<Integer, Cell[]> builds = new TreeMap<>();
-        final Map<Integer, Cell[]> counted = new TreeMap<>();
         int sends;
         int trialSends;
         final Map<String, double[]> paces = new TreeMap<>();
@@ -287,12 +286,8 @@
         } else if (e instanceof Complaint c) {
             Machine m = machines.get(c.machine());
             if (m != null) {
-                cell(second(now - c.sentAgo()).builds, m.build, c.route()).complaints++;
+                cell(now - c.sentAgo(), m.build, c.route()).complaints++;
             }
-        } else if (e instanceof BuildCounts c) {
-            Cell sum = cell(second(now - c.age()).counted, c.build(), c.route());
-            sum.tries += c.tries();
-            sum.fails += c.errors();
         } else if (e instanceof TimerDue) {
             armedFor = Long.MAX_VALUE;
         }
@@ -586,7 +581,7 @@
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 m.paced++;
-                cell(second(now).builds, was.build, r).rate(ratio);
+                cell(now, was.build, r).rate(ratio);
             }
             if (was.settled) {
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
@@ -796,8 +791,8 @@
         return seconds.computeIfAbsent(at / SECOND, k -> new Second());
     }
 
-    private Cell cell(Map<Integer, Cell[]> builds, int build, int route) {
-        Cell[] cells = builds.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
+    private Cell cell(long at, int build, int route) {
+        Cell[] cells = second(at).builds.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
         if (cells[route] == null) {
             cells[route] = new Cell();
         }
@@ -808,7 +803,7 @@
         boolean error = t.outcome() == Outcome.ERROR;
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
         if (was.settled && counts && was.to.strikes < 2) {
-            Cell c = cell(second(now).builds, was.build, rq.is.route());
+            Cell c = cell(now, was.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
         }
@@ -818,15 +813,9 @@
     private String against(int cand, int rev) {
         int routes = set.routes().size();
         for (int r = 0; r <= routes; r++) {
-            Cell a = sum(cand, rev, r, false);
-            Cell b = sum(rev, cand, r, false);
-            int least = r < routes ? LEAST / 2 : LEAST;
-            if (a.fails > 0 && !leads(a.fails, a.tries, b.fails, b.tries, least)) {
-                // the platform's counts hold what machines that die or hang fail: own errors must bear them out
-                a = sum(cand, rev, r, true);
-                b = sum(rev, cand, r, true);
-            }
-            if (leads(a.fails, a.tries, b.fails, b.tries, least)) {
+            Cell a = sum(cand, rev, r);
+            Cell b = sum(rev, cand, r);
+            if (leads(a.fails, a.tries, b.fails, b.tries, r < routes ? LEAST / 2 : LEAST)) {
                 return "errors " + a.fails + " of " + a.tries + ", earlier " + b.fails + " of " + b.tries;
             }
             boolean enough = a.complaints >= LEAST_COMPLAINTS;
@@ -834,17 +823,16 @@
                 return "complaints " + a.complaints + " of " + a.tries;
             }
         }
-        String slow = slower(cand, sum(cand, rev, routes, false), sum(rev, cand, routes, false));
+        String slow = slower(cand, sum(cand, rev, routes), sum(rev, cand, routes));
         return slow == null ? slowsAll() : slow;
     }
 
     /** A build's outcomes on one route, or on all past the last, over the seconds both builds were seen. */
-    private Cell sum(int build, int beside, int route, boolean platform) {
+    private Cell sum(int build, int beside, int route) {
         Cell sum = new Cell();
         for (Second second : seconds.values()) {
-            Map<Integer, Cell[]> builds = platform ? second.counted : second.builds;
-            Cell[] cells = builds.get(build);
-            for (int r = 0; cells != null && builds.containsKey(beside) && r < cells.length; r++) {
+            Cell[] cells = second.builds.get(build);
+            for (int r = 0; cells != null && second.builds.containsKey(beside) && r < cells.length; r++) {
                 if (cells[r] != null && (r == route || route == cells.length)) {
                     sum.add(cells[r]);
                 }
