--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -832,7 +832,9 @@
         Cell sum = new Cell();
         for (Second second : seconds.values()) {
             Cell[] cells = second.builds.get(build);
-            for (int r = 0; cells != null && second.builds.containsKey(beside) && r < cells.length; r++) {
+            // after the release nothing serves beside it: then the earlier build's last seconds stand
+            boolean counts = cells != null && (phase != Phase.TRIAL || second.builds.containsKey(beside));
+            for (int r = 0; counts && r < cells.length; r++) {
                 if (cells[r] != null && (r == route || route == cells.length)) {
                     sum.add(cells[r]);
                 }
