--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -159,10 +159,10 @@
         int trialSends;
         final Map<String, double[]> paces = new TreeMap<>();
 
-        /** The median over machines: a few slow machines must not pass for a slow fleet; 0 for too few. */
+        /** What two thirds of the machines exceed: half of them slow is no slow fleet; 0 for too few. */
         double pace() {
             double[] means = paces.values().stream().mapToDouble(v -> v[0] / v[1]).sorted().toArray();
-            return means.length < 3 ? 0 : (means[(means.length - 1) / 2] + means[means.length / 2]) / 2;
+            return means.length < 3 ? 0 : means[means.length / 3];
         }
     }
 
