--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -850,8 +850,8 @@
     }
 
     /**
-     * Harm that all machines share: most of them have been slow for longer than most outside spells, ever since
-     * the trial had traffic, and were not before it.
+     * Harm that all machines share: most have been slow for longer than most outside spells, ever since the trial
+     * had traffic, and were not before it.
      */
     private String slowsAll() {
         double before = paceBefore();
