--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -874,7 +874,7 @@
 
     private double paceBefore() {
         return seconds.values().stream().filter(s -> s.trialSends == 0).mapToDouble(Second::pace)
-                .filter(p -> p > 0).map(p -> Math.max(1, p)).average().orElse(0);
+                .filter(p -> p > 0).map(p -> Math.max(0.8, p)).average().orElse(0);
     }
 
     /** Slow is a build surely slower by its answers and on most of its machines: one machine is no build. */
