Tidy the module: dead state out, one window check, build sizes summed once a step

Found on reading the whole change again: `watching` was written and never read; the voter limit could never bind since every front votes; the dedup window check stood twice; a build's warm size was summed twice for each machine at every step.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -29,7 +29,6 @@
     private static final double RAMP = 1.25;
     private static final int MOST_PINS = 200_000;
     private static final long READY = 3 * SECOND;
-    private static final int VOTERS = Integer.MAX_VALUE;
     private static final double MARGIN = 0.02;
     private static final double SURE = 3.0;
     private static final int LEAST = 20;
@@ -232,7 +231,6 @@
     private String reason;
 
     // the list
-    private boolean watching;
     private boolean listAsked;
     private long listAskAt;
     private long listPause = SECOND / 2;
@@ -301,7 +299,6 @@
 
     private void readList(MachineList l) {
         if (l.kind() == ListKind.FAILED) {
-            watching = false;
             listAsked = false;
             listAskAt = now + listPause;
             listPause = Math.min(listPause * 2, 4 * SECOND);
@@ -311,7 +308,6 @@
             listPause = SECOND / 2;
             if (listAsked) {
                 listAsked = false;
-                watching = true;
                 listAskAt = now + set.limits().askWithin() / 2;
             }
         }
@@ -398,10 +394,12 @@
             earlier = newsBuild;
         } else {
             double most = 0;
+            Map<Integer, Double> sizes = new HashMap<>();
             for (Machine m : machines.values()) {
                 boolean open = m.live && (newsBuild < 0 || m.build < newsBuild) && m.build >= released.last();
-                if (open && !takenOff.contains(m.build) && warmSize(m.build) > most) {
-                    most = warmSize(m.build);
+                double size = open ? sizes.computeIfAbsent(m.build, this::warmSize) : 0;
+                if (size > most && !takenOff.contains(m.build)) {
+                    most = size;
                     earlier = m.build;
                 }
             }
@@ -647,11 +645,11 @@
         }
         Route route = set.routes().get(rq.is.route());
         return rq.firstMayHaveRun == null || route.effect() == Effect.RETRIABLE
-                || route.effect() == Effect.DEDUPED && inWindow(rq, route);
+                || route.effect() == Effect.DEDUPED && inWindow(rq.firstMayHaveRun, route);
     }
 
-    private boolean inWindow(Rq rq, Route route) {
-        return now + TICK < rq.firstMayHaveRun.sentAt + route.repeatWindow();
+    private boolean inWindow(Try first, Route route) {
+        return now + TICK < first.sentAt + route.repeatWindow();
     }
 
     private boolean sameGroup(Rq rq, Machine m) {
@@ -668,7 +666,7 @@
         Route route = set.routes().get(rq.is.route());
         Try first = rq.firstMayHaveRun == null ? rq.out : rq.firstMayHaveRun;
         return first == null || route.effect() == Effect.RETRIABLE || route.effect() == Effect.DEDUPED
-                && route.group() == Group.ALL && now + TICK < first.sentAt + route.repeatWindow();
+                && route.group() == Group.ALL && inWindow(first, route);
     }
 
     /** Sets what is wanted for one req: a send, an end, or to go on waiting. */
@@ -850,8 +848,8 @@
     }
 
     /**
-     * Harm that all machines share: most have been slow for longer than most outside spells, ever since the trial
-     * had traffic, and were not before it.
+     * Harm that all machines share: most have been slow for longer than most outside spells, ever since the
+     * trial had traffic, and were not before it.
      */
     private String slowsAll() {
         double before = paceBefore();
@@ -925,15 +923,14 @@
             for (Machine m : machines.values()) {
                 ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
             }
-            boolean counted = set.rollout().control() != Control.CLOCK;
-            boolean on = now >= ready + READY && counted;
+            boolean on = now >= ready + READY && set.rollout().control() != Control.CLOCK;
             return on ? Verdict.ON : Verdict.NONE;
         }
         return Verdict.NONE;
     }
 
     private Action.Vote wantedVote() {
-        if (set.self() >= VOTERS || newsBuild < 0 || now < nextVerdict) {
+        if (newsBuild < 0 || now < nextVerdict) {
             return null;
         }
         if (asked != null && now < askedAt + set.rollout().voteTimeout() + SECOND / 2) {
