Fronts share a cold machine's budget by chance rounding, so many fronts push none over

Cause: each of 60 fronts might send a machine that had just started one try a window; together 5 times its capacity. The budget now follows each front's own answers over 10 s and is rounded by chance below one a window. It also holds against restarts of whole fleets; it can shed reqs of quiet fronts when nothing but cold machines is left. An id that comes back as another machine is now a new machine to the module, in place of a field by field reset.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -53,31 +53,8 @@
     private static final double CALM_DRIFT = 1.02;
     private static final double YIELD = 0.7;
 
-    /** One upstream try. */
-    private static final class Try {
-        final int no;
-        final Machine to;
-        final int build;
-        final int zone;
-        final int cell;
-        final long sentAt;
-        final boolean settled;
-        final int openThen;
-        final int level;
-        boolean stopped;
-
-        Try(int no, Machine to, long sentAt, boolean settled) {
-            this.openThen = to.open;
-            this.level = level(to.open + to.others);
-            this.no = no;
-            this.to = to;
-            this.build = to.build;
-            this.zone = to.zone;
-            this.cell = to.cell;
-            this.sentAt = sentAt;
-            this.settled = settled;
-        }
-    }
+    /** One upstream try, with the machine as it was when sent to: an id can come back as another machine. */
+    private record Try(int no, Machine to, long sentAt, boolean settled, int openThen, int level) { }
 
     /** One req this front has taken. */
     private static final class Rq {
@@ -87,6 +64,7 @@
         final long endBy;
         int tries;
         Try out;
+        boolean stopped;
         Try firstMayHaveRun;
         boolean keptOffTrial;
         Set<Machine> met = Set.of();
@@ -107,11 +85,11 @@
     /** One machine, as long as the list names it. */
     private static final class Machine {
         final String id;
-        int build;
-        int zone;
-        int cell;
+        final int build;
+        final int zone;
+        final int cell;
+        final long started;
         double size;
-        long started;
         boolean live;
         int open;
         double credit;
@@ -123,10 +101,16 @@
         long outUntil;
         long fullUntil;
         double others;
+        double luck;
+        long luckUntil;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
 
-        Machine(String id) {
-            this.id = id;
+        Machine(Listed is) {
+            id = is.machine();
+            build = is.build();
+            zone = is.zone();
+            cell = is.cell();
+            started = is.started();
         }
     }
 
@@ -199,9 +183,12 @@
     private long alarmCount;
     private long armedFor = Long.MAX_VALUE;
     private long nextTick;
+    private int ticks;
     private final List<Times> times = new ArrayList<>();
     private double retryTokens = RETRY_MOST;
     private double places;
+    private double answered;
+    private int answeredNow;
 
     // the trial
     private int newsBuild = -1;
@@ -219,7 +206,6 @@
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
-    private final ArrayDeque<Long> completed = new ArrayDeque<>();
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
@@ -240,6 +226,9 @@
     public Shifter(Settings settings, long seed) {
         this.set = settings;
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
+        // until answers tell: an even part of what the customers may ask
+        double quota = settings.customers().stream().mapToDouble(Customer::quota).sum();
+        answered = quota > 0 ? quota / settings.fronts() : 1;
         for (Route route : settings.routes()) {
             times.add(new Times(route.objective() / 5.0));
             taken.add(new ArrayDeque<>());
@@ -314,21 +303,15 @@
         Set<String> named = new HashSet<>();
         for (Listed i : l.machines()) {
             named.add(i.machine());
-            Machine m = machines.computeIfAbsent(i.machine(), Machine::new);
-            if (m.started != i.started() || m.build != i.build()) {
-                m.strikes = 0;
-                m.outUntil = 0;
-                m.fullUntil = 0;
-                m.pace = 1;
-                m.paced = 0;
-                m.wait = 0;
-                m.others = 0;
+            Machine m = machines.get(i.machine());
+            if (m == null || m.started != i.started() || m.build != i.build()) {
+                // what was learned of the id before says nothing of the machine that now has it
+                m = new Machine(i);
+                machines.put(m.id, m);
+                m.luck = chance();
+                m.luckUntil = now + set.limits().tipAfter();
             }
-            m.build = i.build();
-            m.zone = i.zone();
-            m.cell = i.cell();
             m.size = Math.max(i.size(), 1e-3);
-            m.started = i.started();
             m.live = i.state() == MachineState.LIVE;
         }
         if (l.kind() != ListKind.CHANGES) {
@@ -525,14 +508,14 @@
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
         if (t.outcome() == Outcome.COMPLETED) {
-            completed.addLast(now);
+            answeredNow++;
             // by the build that answered: one not announced yet can leave the list before its answer comes
-            boolean ahead = was.build > base && !takenOff.contains(was.build);
+            boolean ahead = was.to.build > base && !takenOff.contains(was.to.build);
             if (ahead && rq.is.key() != null && set.rollout().keysStay()) {
-                pins.merge(rq.is.key(), was.build, Math::max);
+                pins.merge(rq.is.key(), was.to.build, Math::max);
             }
         } else {
-            rq.keptOffTrial |= was.build == trial;
+            rq.keptOffTrial |= was.to.build == trial;
             rq.met = new HashSet<>(rq.met);
             rq.met.add(was.to);
         }
@@ -541,9 +524,6 @@
 
     private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
-        if (m.build != was.build || m.started > was.sentAt) {
-            return;
-        }
         int r = rq.is.route();
         switch (t.outcome()) {
             case COMPLETED -> {
@@ -584,7 +564,7 @@
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 m.paced++;
-                cell(now, was.build, r).rate(ratio);
+                cell(now, was.to.build, r).rate(ratio);
             }
             if (was.settled) {
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
@@ -594,7 +574,7 @@
             t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
-        if (judged() < 0 || was.build != judged() && t.seen[level] < 8) {
+        if (judged() < 0 || was.to.build != judged() && t.seen[level] < 8) {
             t.seen[level]++;
             t.usual[level] += (took - t.usual[level]) * Math.max(0.05, 1.0 / t.seen[level]);
         }
@@ -657,9 +637,8 @@
         if (rq.firstMayHaveRun == null || route.effect() != Effect.DEDUPED || route.group() == Group.ALL) {
             return true;
         }
-        // as the machine was when sent to: an id can come back as another machine elsewhere
         Try first = rq.firstMayHaveRun;
-        return route.group() == Group.ZONE ? first.zone == m.zone : first.cell == m.cell;
+        return route.group() == Group.ZONE ? first.to.zone == m.zone : first.to.cell == m.cell;
     }
 
     private boolean shedAllowed(Rq rq) {
@@ -759,8 +738,9 @@
         }
         // answers, not reqs taken: in overload the reqs say nothing of what a machine can do
         long window = set.limits().tipAfter();
-        double usual = countSince(completed, now - window) * m.size / Math.max(places, 1e-9);
-        double most = Math.max(1, COLD_USE * set.limits().tipMultiple() * warmth(m) * usual);
+        double usual = answered * window / SECOND * m.size / Math.max(places, 1e-9);
+        // under one a window, chance rounds: were each of many fronts let send one, all together would topple it
+        double most = Math.floor(COLD_USE * set.limits().tipMultiple() * warmth(m) * usual + m.luck);
         return countSince(m.sends, now - window) + 1 > most;
     }
 
@@ -807,7 +787,7 @@
         boolean error = t.outcome() == Outcome.ERROR;
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
         if (was.settled && counts && was.to.strikes < 2) {
-            Cell c = cell(now, was.build, rq.is.route());
+            Cell c = cell(now, was.to.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
         }
@@ -981,13 +961,14 @@
                     : new Action.Err(rq.is.id()));
             rq.ended = true;
         }
-        if (rq.ended && rq.out != null && !rq.out.stopped && set.allowed().stops()) {
-            rq.out.stopped = true;
+        if (rq.ended && rq.out != null && !rq.stopped && set.allowed().stops()) {
+            rq.stopped = true;
             out.add(new Action.StopTry(rq.is.id(), rq.out.no));
         }
         if (rq.want != null && !rq.ended) {
             boolean settled = rq.want.started == 0 || now >= rq.want.started + READY;
-            rq.out = new Try(rq.tries++, rq.want, now, settled);
+            int open = rq.want.open;
+            rq.out = new Try(rq.tries++, rq.want, now, settled, open, level(open + rq.want.others));
             out.add(new Action.Send(rq.is.id(), rq.want.id, rq.within));
         }
         rq.want = null;
@@ -997,14 +978,21 @@
     }
 
     private void tidy() {
+        ticks++;
+        // of the last 10 s, not of a cold machine's window: a quiet front has too few answers in that
+        answered += (answeredNow * (double) SECOND / TICK - answered) * Math.max(0.01, 1.0 / (30 + ticks));
+        answeredNow = 0;
         long keep = Math.max(set.rollout().window(), set.limits().tipAfter()) + SECOND;
         for (List<ArrayDeque<Long>> all : List.of(taken, exposed)) {
             for (ArrayDeque<Long> times : all) {
                 forget(times, now - keep);
             }
         }
-        forget(completed, now - keep);
         for (Machine m : machines.values()) {
+            if (now >= m.luckUntil) {
+                m.luck = chance();
+                m.luckUntil = now + set.limits().tipAfter();
+            }
             forget(m.sends, now - keep);
         }
         seconds.headMap((now - MEMORY) / SECOND).clear();
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -47,6 +47,23 @@
         assertTrue(sent > 0 && sent < 30, "80 reqs came, 20 in the span are a machine's usual: sent " + sent);
     }
 
+    @Test
+    void manyQuietFrontsTogetherSpareAColdMachine() {
+        int sent = 0;
+        for (int front = 0; front < 60; front++) {
+            Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), front);
+            play.begin(30);
+            play.traffic(10 * Play.SECOND, 1000, 1000, 0, 0, new Random(front));
+            for (int i = 0; i < 30; i++) {
+                play.lists(Play.machine("m" + i, 1, 0, MachineState.GONE, 0));
+            }
+            play.lists(Play.machine("c", 1, 0, MachineState.LIVE, play.now));
+            play.traffic(2 * Play.SECOND, 1000, 1000, 0, 0, new Random(front));
+            sent += play.all.stream().filter(s -> s.machine().equals("c")).count();
+        }
+        assertTrue(sent > 0 && sent <= 10, "120 reqs came, 4 in the span are a machine's usual: sent " + sent);
+    }
+
     @Test
     void aFullFleetIsNotAskedByEveryReqAtEveryMachine() {
         Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
