--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -183,7 +183,8 @@
     private long alarmCount;
     private long armedFor = Long.MAX_VALUE;
     private long nextTick;
-    private int ticks;
+    private long tickedAt;
+    private double span = 3;
     private final List<Times> times = new ArrayList<>();
     private double retryTokens = RETRY_MOST;
     private double places;
@@ -978,10 +979,12 @@
     }
 
     private void tidy() {
-        ticks++;
-        // of the last 10 s, not of a cold machine's window: a quiet front has too few answers in that
-        answered += (answeredNow * (double) SECOND / TICK - answered) * Math.max(0.01, 1.0 / (30 + ticks));
+        // over 10 s, not over a cold machine's window: a quiet front has too few answers in that
+        double past = tickedAt == 0 ? 0 : (now - tickedAt) / (double) SECOND;
+        span = Math.min(10, span + past);
+        answered += (answeredNow - answered * past) / Math.max(past, span);
         answeredNow = 0;
+        tickedAt = now;
         long keep = Math.max(set.rollout().window(), set.limits().tipAfter()) + SECOND;
         for (List<ArrayDeque<Long>> all : List.of(taken, exposed)) {
             for (ArrayDeque<Long> times : all) {
