Turns begin at random places and idle machines rank alike

Cause: all fronts began their rotation at the same machine, and a machine under 1/1.3 of the largest weight was never chosen while a large one was idle.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -311,6 +311,8 @@
                 machines.put(m.id, m);
                 m.luck = chance();
                 m.luckUntil = now + set.limits().tipAfter();
+                // fronts that all began their turns at the same machine would meet there
+                m.credit = (chance() - 0.5) * i.size() * Math.max(machines.size(), l.machines().size());
             }
             m.size = Math.max(i.size(), 1e-3);
             m.live = i.state() == MachineState.LIVE;
@@ -728,9 +730,10 @@
         return m.size * warmth(m) / Math.max(0.4, Math.min(3, m.pace));
     }
 
+    /** What a machine is known to hold, for its weight; a crossing counts as so much held. */
     private double strain(Machine m) {
-        double far = m.zone == set.zone() ? 1 : 1 + CROSS * set.prices().crossZone();
-        return (m.open + m.others + 1) / weight(m) * far;
+        double far = m.zone == set.zone() ? 0 : CROSS * set.prices().crossZone();
+        return (m.open + m.others + far) / weight(m);
     }
 
     private boolean coldFull(Machine m) {
