Certainty of a vote grows with the fronts a vote; no verdict by times after the release

A key that errs counts once: its client's retries go to the same build each time and are one finding, not many.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -92,15 +92,11 @@
         double size;
         boolean live;
         int open;
-        double credit;
-        double pace = 1;
-        int paced;
-        double wait;
-        double usualOpen = 1;
         int strikes;
-        long outUntil;
-        long fullUntil;
-        double others;
+        long outUntil, fullUntil;
+        double credit, wait, others;
+        double pace = 1, usualOpen = 1;
+        int paced;
         double luck;
         long luckUntil;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
@@ -116,12 +112,8 @@
 
     /** What one build did on one route in one second. */
     private static final class Cell {
-        int tries;
-        int fails;
-        int complaints;
-        int rated;
-        double ratio;
-        double square;
+        int tries, fails, complaints, rated;
+        double ratio, square;
 
         void rate(double how) {
             rated++;
@@ -188,6 +180,7 @@
     private final List<Times> times = new ArrayList<>();
     private double retryTokens = RETRY_MOST;
     private double places;
+    private final double sure;
     private double answered;
     private int answeredNow;
 
@@ -207,6 +200,7 @@
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
+    private final Map<String, Long> erred = new HashMap<>();
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
@@ -227,6 +221,9 @@
     public Shifter(Settings settings, long seed) {
         this.set = settings;
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
+        // of many fronts, some see a lead by mere chance: the fewer votes send a build back, the surer each
+        int enough = Math.max(1, settings.rollout().backVotes());
+        sure = Math.sqrt(SURE * SURE + 2 * Math.log(Math.max(1, settings.fronts() / (double) enough)));
         // until answers tell: an even part of what the customers may ask
         double quota = settings.customers().stream().mapToDouble(Customer::quota).sum();
         answered = quota > 0 ? quota / settings.fronts() : 1;
@@ -743,7 +740,7 @@
         // answers, not reqs taken: in overload the reqs say nothing of what a machine can do
         long window = set.limits().tipAfter();
         double usual = answered * window / SECOND * m.size / Math.max(places, 1e-9);
-        // under one a window, chance rounds: were each of many fronts let send one, all together would topple it
+        // under one a window, chance rounds: one from each of many fronts would topple it
         double most = Math.floor(COLD_USE * set.limits().tipMultiple() * warmth(m) * usual + m.luck);
         return countSince(m.sends, now - window) + 1 > most;
     }
@@ -790,11 +787,16 @@
     private void judgeBuild(Try was, TryEnded t, Rq rq) {
         boolean error = t.outcome() == Outcome.ERROR;
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        if (was.settled && counts && was.to.strikes < 2) {
+        // a bad key fails again with each retry of its client, always at one build: it speaks only once
+        boolean known = rq.is.key() != null && erred.containsKey(rq.is.key());
+        if (was.settled && counts && was.to.strikes < 2 && !known) {
             Cell c = cell(now, was.to.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
         }
+        if (error && rq.is.key() != null) {
+            erred.put(rq.is.key(), now);
+        }
     }
 
     /** What speaks against cand beside the earlier build, over the seconds both were seen; or null. */
@@ -811,7 +813,9 @@
                 return "complaints " + a.complaints + " of " + a.tries;
             }
         }
-        String slow = slower(cand, sum(cand, rev, routes), sum(rev, cand, routes));
+        // after the release no seconds are shared, and other loads than then pass for a slow build
+        boolean beside = phase == Phase.TRIAL;
+        String slow = beside ? slower(cand, sum(cand, rev, routes), sum(rev, cand, routes)) : null;
         return slow == null ? slowsAll() : slow;
     }
 
@@ -875,17 +879,17 @@
         double y = Math.max(1, b.ratio / b.rated);
         double doubt =
                 Math.sqrt((a.square / a.rated - x * x) / a.rated + (b.square / b.rated - y * y) / b.rated);
-        boolean slow = x > SLOWER * y && x - (1 + SLOWER) / 2 * y > SURE * doubt;
+        boolean slow = x > SLOWER * y && x - (1 + SLOWER) / 2 * y > sure * doubt;
         return slow ? "slow " + x + " of " + a.rated + ", earlier " + y + " of " + b.rated : null;
     }
 
-    private static boolean leads(int f, int n, int g, int m, int least) {
+    private boolean leads(int f, int n, int g, int m, int least) {
         if (n < least || m == 0 || f < LEAST_FAILS) {
             return false;
         }
         double lead = f / (double) n - g / (double) m;
         double all = (f + g) / (double) (n + m);
-        return lead > MARGIN && lead > SURE * Math.sqrt(all * (1 - all) * (1.0 / n + 1.0 / m));
+        return lead > MARGIN && lead > sure * Math.sqrt(all * (1 - all) * (1.0 / n + 1.0 / m));
     }
 
     /** The build under judgement: on trial, or released a short while ago, when it can still be sent back. */
@@ -1002,6 +1006,7 @@
             forget(m.sends, now - keep);
         }
         seconds.headMap((now - MEMORY) / SECOND).clear();
+        erred.values().removeIf(at -> at < now - MEMORY);
     }
 
     private static void forget(ArrayDeque<Long> times, long before) {
