--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -131,9 +131,41 @@
         }
     }
 
-    /** One second of the instance: outcomes by build and route, and how slow each machine was. */
+    /** Outcomes by second, build and route from one source. */
+    private static final class Book {
+        final int routes;
+        final TreeMap<Long, Map<Integer, Cell[]>> seconds = new TreeMap<>();
+
+        Book(int routes) {
+            this.routes = routes;
+        }
+
+        Cell cell(long at, int build, int route) {
+            return cell(seconds.computeIfAbsent(at / SECOND, k -> new TreeMap<>()), build, route);
+        }
+
+        Cell cell(Map<Integer, Cell[]> second, int build, int route) {
+            Cell[] cells = second.computeIfAbsent(build, k -> new Cell[routes]);
+            cells[route] = cells[route] == null ? new Cell() : cells[route];
+            return cells[route];
+        }
+
+        /** All seconds as if they were one, for a build that nothing serves beside any more. */
+        Map<Integer, Cell[]> whole() {
+            Map<Integer, Cell[]> all = new TreeMap<>();
+            seconds.values().forEach(second -> second.forEach((build, cells) -> {
+                for (int r = 0; r < routes; r++) {
+                    if (cells[r] != null) {
+                        cell(all, build, r).add(cells[r]);
+                    }
+                }
+            }));
+            return all;
+        }
+    }
+
+    /** One second of the instance: how much was sent, and how slow each machine was. */
     private static final class Second {
-        final Map<Integer, Cell[]> builds = new TreeMap<>();
         int sends;
         int trialSends;
         final Map<String, double[]> paces = new TreeMap<>();
@@ -201,6 +233,8 @@
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
     private final Map<String, Long> erred = new HashMap<>();
+    private final Book own;
+    private final Book told;
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
@@ -220,6 +254,8 @@
 
     public Shifter(Settings settings, long seed) {
         this.set = settings;
+        this.own = new Book(settings.routes().size());
+        this.told = new Book(settings.routes().size());
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
         // of many fronts, some see a lead by mere chance: the fewer votes send a build back, the surer each
         int enough = Math.max(1, settings.rollout().backVotes());
@@ -275,7 +311,15 @@
         } else if (e instanceof Complaint c) {
             Machine m = machines.get(c.machine());
             if (m != null) {
-                cell(now - c.sentAgo(), m.build, c.route()).complaints++;
+                own.cell(now - c.sentAgo(), m.build, c.route()).complaints++;
+            }
+        } else if (e instanceof BuildCounts c) {
+            long at = now - c.age() - set.rollout().countsEvery() / 2;
+            // the platform counts machines still cold, which fail for no fault of their build
+            if (c.route() < own.routes && at >= newest(c.build()) + READY) {
+                Cell cell = told.cell(at, c.build(), c.route());
+                cell.tries += c.tries();
+                cell.fails += c.errors();
             }
         } else if (e instanceof TimerDue) {
             armedFor = Long.MAX_VALUE;
@@ -564,7 +608,7 @@
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 m.paced++;
-                cell(now, was.to.build, r).rate(ratio);
+                own.cell(now, was.to.build, r).rate(ratio);
             }
             if (was.settled) {
                 double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
@@ -776,21 +820,13 @@
         return seconds.computeIfAbsent(at / SECOND, k -> new Second());
     }
 
-    private Cell cell(long at, int build, int route) {
-        Cell[] cells = second(at).builds.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
-        if (cells[route] == null) {
-            cells[route] = new Cell();
-        }
-        return cells[route];
-    }
-
     private void judgeBuild(Try was, TryEnded t, Rq rq) {
         boolean error = t.outcome() == Outcome.ERROR;
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
         // a bad key fails again with each retry of its client, always at one build: it speaks only once
         boolean known = rq.is.key() != null && erred.containsKey(rq.is.key());
         if (was.settled && counts && was.to.strikes < 2 && !known) {
-            Cell c = cell(now, was.to.build, rq.is.route());
+            Cell c = own.cell(now, was.to.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
         }
@@ -801,35 +837,27 @@
 
     /** What speaks against cand beside the earlier build, over the seconds both were seen; or null. */
     private String against(int cand, int rev) {
-        int routes = set.routes().size();
-        for (int r = 0; r <= routes; r++) {
-            Cell a = sum(cand, rev, r);
-            Cell b = sum(rev, cand, r);
-            if (leads(a.fails, a.tries, b.fails, b.tries, r < routes ? LEAST / 2 : LEAST)) {
-                return "errors " + a.fails + " of " + a.tries + ", earlier " + b.fails + " of " + b.tries;
-            }
-            boolean enough = a.complaints >= LEAST_COMPLAINTS;
-            if (enough && leads(a.complaints, a.tries, b.complaints, b.tries, LEAST)) {
-                return "complaints " + a.complaints + " of " + a.tries;
+        for (int r = 0; r <= own.routes; r++) {
+            int least = r < own.routes ? LEAST / 2 : LEAST;
+            String errors = leads(own, cand, rev, r, least, false);
+            errors = errors == null ? leads(told, cand, rev, r, least, false) : errors;
+            errors = errors == null ? leads(own, cand, rev, r, LEAST, true) : errors;
+            if (errors != null) {
+                return errors;
             }
         }
         // after the release no seconds are shared, and other loads than then pass for a slow build
-        boolean beside = phase == Phase.TRIAL;
-        String slow = beside ? slower(cand, sum(cand, rev, routes), sum(rev, cand, routes)) : null;
+        String slow = phase == Phase.TRIAL ? slower(cand, sum(cand, rev), sum(rev, cand)) : null;
         return slow == null ? slowsAll() : slow;
     }
 
-    /** A build's outcomes on one route, or on all past the last, over the seconds both builds were seen. */
-    private Cell sum(int build, int beside, int route) {
+    /** A build's own outcomes over the seconds both builds were seen. */
+    private Cell sum(int build, int beside) {
         Cell sum = new Cell();
-        for (Second second : seconds.values()) {
-            Cell[] cells = second.builds.get(build);
-            // after the release nothing serves beside it: then the earlier build's last seconds stand
-            boolean counts = cells != null && (phase != Phase.TRIAL || second.builds.containsKey(beside));
-            for (int r = 0; counts && r < cells.length; r++) {
-                if (cells[r] != null && (r == route || route == cells.length)) {
-                    sum.add(cells[r]);
-                }
+        for (Map<Integer, Cell[]> second : own.seconds.values()) {
+            Cell[] cells = second.containsKey(beside) ? second.get(build) : null;
+            for (int r = 0; cells != null && r < own.routes; r++) {
+                sum.add(cells[r] == null ? new Cell() : cells[r]);
             }
         }
         return sum;
@@ -883,13 +911,44 @@
         return slow ? "slow " + x + " of " + a.rated + ", earlier " + y + " of " + b.rated : null;
     }
 
-    private boolean leads(int f, int n, int g, int m, int least) {
-        if (n < least || m == 0 || f < LEAST_FAILS) {
-            return false;
+    /**
+     * A lead in failures or complaints, each second and route by itself: summed, a share that changes with
+     * time or route passes for a lead of the build that has its traffic then.
+     */
+    private String leads(Book book, int cand, int rev, int route, int least, boolean complaints) {
+        double lead = 0;
+        double doubt = 0;
+        double weight = 0;
+        int tries = 0;
+        int fails = 0;
+        // after the release nothing serves beside it: then the earlier build's last seconds stand
+        boolean beside = phase == Phase.TRIAL;
+        for (Map<Integer, Cell[]> second : beside ? book.seconds.values() : List.of(book.whole())) {
+            Cell[] x = second.get(cand);
+            Cell[] y = second.get(rev);
+            for (int r = 0; x != null && y != null && r < book.routes; r++) {
+                if (route < book.routes && r != route || x[r] == null || y[r] == null) {
+                    continue;
+                }
+                double n = x[r].tries;
+                double m = y[r].tries;
+                int f = complaints ? x[r].complaints : x[r].fails;
+                int g = complaints ? y[r].complaints : y[r].fails;
+                if (n > 0 && m > 0) {
+                    double even = n * m / (n + m);
+                    double share = (f + g) / (n + m);
+                    lead += even * (f / n - g / m);
+                    doubt += even * share * Math.max(0, 1 - share) * (n + m) / (n + m - 1);
+                    weight += even;
+                    tries += x[r].tries;
+                    fails += f;
+                }
+            }
         }
-        double lead = f / (double) n - g / (double) m;
-        double all = (f + g) / (double) (n + m);
-        return lead > MARGIN && lead > sure * Math.sqrt(all * (1 - all) * (1.0 / n + 1.0 / m));
+        boolean leads = tries >= least && fails >= (complaints ? LEAST_COMPLAINTS : LEAST_FAILS)
+                && lead > MARGIN * weight && lead > sure * Math.sqrt(doubt);
+        String what = complaints ? "complaints " : book == own ? "errors " : "errors told ";
+        return leads ? what + fails + " of " + tries + ", lead " + lead / weight : null;
     }
 
     /** The build under judgement: on trial, or released a short while ago, when it can still be sent back. */
@@ -898,6 +957,11 @@
         return trial >= 0 ? trial : late ? newsBuild : -1;
     }
 
+    private long newest(int build) {
+        return machines.values().stream().filter(m -> m.live && m.build == build).mapToLong(m -> m.started)
+                .max().orElse(0);
+    }
+
     private Verdict verdict() {
         if (judged() != newsBuild) {
             return Verdict.NONE;
@@ -907,11 +971,8 @@
             return Verdict.BACK;
         }
         if (phase == Phase.TRIAL) {
-            long ready = stageSince;
-            for (Machine m : machines.values()) {
-                ready = m.live && m.build == newsBuild ? Math.max(ready, m.started) : ready;
-            }
-            boolean on = now >= ready + READY && set.rollout().control() != Control.CLOCK;
+            boolean on = now >= Math.max(stageSince, newest(newsBuild)) + READY
+                    && set.rollout().control() != Control.CLOCK;
             return on ? Verdict.ON : Verdict.NONE;
         }
         return Verdict.NONE;
@@ -1005,7 +1066,9 @@
             }
             forget(m.sends, now - keep);
         }
-        seconds.headMap((now - MEMORY) / SECOND).clear();
+        for (TreeMap<Long, ?> all : List.of(seconds, own.seconds, told.seconds)) {
+            all.headMap((now - MEMORY) / SECOND).clear();
+        }
         erred.values().removeIf(at -> at < now - MEMORY);
     }
 
