Bad reqs are no bad build: first tries by the second of their send, cured errors after the release

Cause: errors come quickly and answers later, so a build whose share has just risen shows its errors first; after the release the seconds before, without bad reqs, stood for the earlier build. Change: an outcome counts in the second of its send, only of first tries; after the release only errors that a further try cured.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -67,6 +67,8 @@
         boolean stopped;
         Try firstMayHaveRun;
         boolean keptOffTrial;
+        boolean erredBefore;
+        Cell failedIn;
         Set<Machine> met = Set.of();
         // wanted
         Machine want;
@@ -112,7 +114,7 @@
 
     /** What one build did on one route in one second. */
     private static final class Cell {
-        int tries, fails, complaints, rated;
+        int tries, fails, cured, complaints, rated;
         double ratio, square;
 
         void rate(double how) {
@@ -124,6 +126,7 @@
         void add(Cell o) {
             tries += o.tries;
             fails += o.fails;
+            cured += o.cured;
             complaints += o.complaints;
             rated += o.rated;
             ratio += o.ratio;
@@ -234,7 +237,6 @@
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
     private final Map<String, Long> erred = new HashMap<>();
     private final Book own;
-    private final Book told;
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
@@ -255,7 +257,6 @@
     public Shifter(Settings settings, long seed) {
         this.set = settings;
         this.own = new Book(settings.routes().size());
-        this.told = new Book(settings.routes().size());
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
         // of many fronts, some see a lead by mere chance: the fewer votes send a build back, the surer each
         int enough = Math.max(1, settings.rollout().backVotes());
@@ -313,14 +314,6 @@
             if (m != null) {
                 own.cell(now - c.sentAgo(), m.build, c.route()).complaints++;
             }
-        } else if (e instanceof BuildCounts c) {
-            long at = now - c.age() - set.rollout().countsEvery() / 2;
-            // the platform counts machines still cold, which fail for no fault of their build
-            if (c.route() < own.routes && at >= newest(c.build()) + READY) {
-                Cell cell = told.cell(at, c.build(), c.route());
-                cell.tries += c.tries();
-                cell.fails += c.errors();
-            }
         } else if (e instanceof TimerDue) {
             armedFor = Long.MAX_VALUE;
         }
@@ -525,6 +518,8 @@
         taken.get(scope(r.route())).addLast(now);
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
+        // a bad req fails again with each retry of its client, always at one build: it speaks once
+        rq.erredBefore = r.key() != null && erred.containsKey(r.key());
         reqs.put(r.id(), rq);
         alarm(rq, rq.endBy);
         alarm(rq, now + set.routes().get(r.route()).objective() - LAST_CALL);
@@ -822,13 +817,16 @@
 
     private void judgeBuild(Try was, TryEnded t, Rq rq) {
         boolean error = t.outcome() == Outcome.ERROR;
+        if (t.outcome() == Outcome.COMPLETED && rq.failedIn != null) {
+            rq.failedIn.cured++;
+        }
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        // a bad key fails again with each retry of its client, always at one build: it speaks only once
-        boolean known = rq.is.key() != null && erred.containsKey(rq.is.key());
-        if (was.settled && counts && was.to.strikes < 2 && !known) {
-            Cell c = own.cell(now, was.to.build, rq.is.route());
+        if (was.settled && counts && was.to.strikes < 2 && was.no == 0 && !rq.erredBefore) {
+            // by when it was sent: errors come quickly, so a build whose share just rose has them first
+            Cell c = own.cell(was.sentAt, was.to.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
+            rq.failedIn = error ? c : null;
         }
         if (error && rq.is.key() != null) {
             erred.put(rq.is.key(), now);
@@ -838,12 +836,10 @@
     /** What speaks against cand beside the earlier build, over the seconds both were seen; or null. */
     private String against(int cand, int rev) {
         for (int r = 0; r <= own.routes; r++) {
-            int least = r < own.routes ? LEAST / 2 : LEAST;
-            String errors = leads(own, cand, rev, r, least, false);
-            errors = errors == null ? leads(told, cand, rev, r, least, false) : errors;
-            errors = errors == null ? leads(own, cand, rev, r, LEAST, true) : errors;
-            if (errors != null) {
-                return errors;
+            String lead = leads(own, cand, rev, r, r < own.routes ? LEAST / 2 : LEAST, false);
+            lead = lead == null ? leads(own, cand, rev, r, LEAST, true) : lead;
+            if (lead != null) {
+                return lead;
             }
         }
         // after the release no seconds are shared, and other loads than then pass for a slow build
@@ -923,7 +919,8 @@
         int fails = 0;
         // after the release nothing serves beside it: then the earlier build's last seconds stand
         boolean beside = phase == Phase.TRIAL;
-        for (Map<Integer, Cell[]> second : beside ? book.seconds.values() : List.of(book.whole())) {
+        var all = beside ? book.seconds.headMap(now / SECOND - 1).values() : List.of(book.whole());
+        for (Map<Integer, Cell[]> second : all) {
             Cell[] x = second.get(cand);
             Cell[] y = second.get(rev);
             for (int r = 0; x != null && y != null && r < book.routes; r++) {
@@ -932,8 +929,9 @@
                 }
                 double n = x[r].tries;
                 double m = y[r].tries;
-                int f = complaints ? x[r].complaints : x[r].fails;
-                int g = complaints ? y[r].complaints : y[r].fails;
+                // with no build beside it, only a req that another try cured tells a bad build from bad reqs
+                int f = complaints ? x[r].complaints : beside ? x[r].fails : x[r].cured;
+                int g = complaints ? y[r].complaints : beside ? y[r].fails : y[r].cured;
                 if (n > 0 && m > 0) {
                     double even = n * m / (n + m);
                     double share = (f + g) / (n + m);
@@ -947,7 +945,7 @@
         }
         boolean leads = tries >= least && fails >= (complaints ? LEAST_COMPLAINTS : LEAST_FAILS)
                 && lead > MARGIN * weight && lead > sure * Math.sqrt(doubt);
-        String what = complaints ? "complaints " : book == own ? "errors " : "errors told ";
+        String what = complaints ? "complaints " : "errors ";
         return leads ? what + fails + " of " + tries + ", lead " + lead / weight : null;
     }
 
@@ -1066,7 +1064,7 @@
             }
             forget(m.sends, now - keep);
         }
-        for (TreeMap<Long, ?> all : List.of(seconds, own.seconds, told.seconds)) {
+        for (TreeMap<Long, ?> all : List.of(seconds, own.seconds)) {
             all.headMap((now - MEMORY) / SECOND).clear();
         }
         erred.values().removeIf(at -> at < now - MEMORY);
