--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -52,6 +52,7 @@
     private static final int CALM_RUN = 100;
     private static final double CALM_DRIFT = 1.02;
     private static final double YIELD = 0.7;
+    private static final long FRESH = 2 * SECOND;
 
     /** One upstream try, with the machine as it was when sent to: an id can come back as another machine. */
     private record Try(int no, Machine to, long sentAt, boolean settled, int openThen, int level) { }
@@ -97,6 +98,7 @@
         int strikes;
         long outUntil, fullUntil;
         double credit, wait, others;
+        long answeredAt;
         double pace = 1, usualOpen = 1;
         int paced;
         double luck;
@@ -186,8 +188,8 @@
         final int[] seen = new int[LEVELS];
         double spread = 0.5;
         double calm;
-        double runSum;
-        int runCount;
+        double runSum, recent;
+        int runCount, open;
         boolean ran;
 
         Times(double calm) {
@@ -217,6 +219,7 @@
     private double places;
     private final double sure;
     private double answered;
+    private double wait;
     private int answeredNow;
 
     // the trial
@@ -534,6 +537,10 @@
         Try was = rq.out;
         rq.out = null;
         was.to.open--;
+        Times usual = times.get(rq.is.route());
+        usual.open--;
+        // what ended without an answer took as long at the least
+        usual.recent += t.outcome() == Outcome.COMPLETED || t.took() > usual.recent ? (t.took() - usual.recent) * 0.1 : 0;
         rq.ended |= t.reqOver();
         boolean neverRan = t.outcome() == Outcome.FULL || t.outcome() == Outcome.NO_CONNECTION
                 || t.outcome() == Outcome.NOT_SENT;
@@ -630,11 +637,16 @@
             t.runCount = 0;
         }
         m.wait += (took - t.calm - m.wait) * 0.15;
+        m.answeredAt = now;
+        wait += (took - t.calm - wait) * Math.max(0.02, Math.min(0.2, 1 / (2 * answered + 1)));
         m.usualOpen += (was.openThen - m.usualOpen) * 0.15;
     }
 
+    /** What a machine showed a while ago says little: then the wait at all machines stands for it. */
     private double expectedWait(Machine m) {
-        return Math.max(0, m.wait) * (m.open + 1) / Math.max(1, m.usualOpen);
+        double fresh = Math.max(0, 1 - (now - m.answeredAt) / (double) FRESH);
+        double own = Math.max(0, m.wait) * (m.open + 1) / Math.max(1, m.usualOpen);
+        return fresh * own + (1 - fresh) * Math.max(0, wait);
     }
 
     private double slack(int r) {
@@ -703,7 +715,7 @@
             boolean again = rq.tries > 0;
             boolean may = mayResend(rq) && (!again || retryTokens >= 1);
             rq.want = may ? choose(rq) : null;
-            if (rq.want != null && expectedWait(rq.want) > yieldAt(rq.is.route())) {
+            if (rq.want != null && (hopeless(rq) || expectedWait(rq.want) > yieldAt(rq.is.route()))) {
                 rq.want = null;
             }
             rq.wantEnd = rq.want == null;
@@ -715,6 +727,15 @@
         }
     }
 
+    /**
+     * A route whose tries all end late only holds places: two at a time tell when that ends. Against queues
+     * that no answer comes out of in time, and a route that waits at every machine.
+     */
+    private boolean hopeless(Rq rq) {
+        Times t = times.get(rq.is.route());
+        return t.open >= 2 && t.recent > set.routes().get(rq.is.route()).objective();
+    }
+
     private Machine choose(Rq rq) {
         int pin = rq.is.key() == null ? -1 : pins.getOrDefault(rq.is.key(), -1);
         if (pin > base) {
@@ -801,6 +822,7 @@
     private void send(Rq rq) {
         Machine m = rq.want;
         m.open++;
+        times.get(rq.is.route()).open++;
         m.sends.addLast(now);
         second(now).sends++;
         second(now).trialSends += m.build == judged() ? 1 : 0;
