Two tries of a route go out at any wait; waits fade to the fleet's; late routes are held to two tries

Cause: a front that sheds everything gets no answers, so its wait never changes; with hundreds of machines a machine's wait is of long ago. Told apart by sheds in seconds with a p50 of 150 ms. A route that waits at every machine is held too; small fronts always keep two tries.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -539,8 +539,8 @@
         was.to.open--;
         Times usual = times.get(rq.is.route());
         usual.open--;
-        // what ended without an answer took as long at the least
-        usual.recent += t.outcome() == Outcome.COMPLETED || t.took() > usual.recent ? (t.took() - usual.recent) * 0.1 : 0;
+        // answers only: silence at some machines says nothing of the others
+        usual.recent += t.outcome() == Outcome.COMPLETED ? (t.took() - usual.recent) * 0.1 : 0;
         rq.ended |= t.reqOver();
         boolean neverRan = t.outcome() == Outcome.FULL || t.outcome() == Outcome.NO_CONNECTION
                 || t.outcome() == Outcome.NOT_SENT;
@@ -715,7 +715,9 @@
             boolean again = rq.tries > 0;
             boolean may = mayResend(rq) && (!again || retryTokens >= 1);
             rq.want = may ? choose(rq) : null;
-            if (rq.want != null && (hopeless(rq) || expectedWait(rq.want) > yieldAt(rq.is.route()))) {
+            // two tries of a route go out at any wait: a front that only sheds would never learn of its end
+            if (rq.want != null && times.get(rq.is.route()).open >= 2
+                    && (hopeless(rq.is.route()) || expectedWait(rq.want) > yieldAt(rq.is.route()))) {
                 rq.want = null;
             }
             rq.wantEnd = rq.want == null;
@@ -727,13 +729,9 @@
         }
     }
 
-    /**
-     * A route whose tries all end late only holds places: two at a time tell when that ends. Against queues
-     * that no answer comes out of in time, and a route that waits at every machine.
-     */
-    private boolean hopeless(Rq rq) {
-        Times t = times.get(rq.is.route());
-        return t.open >= 2 && t.recent > set.routes().get(rq.is.route()).objective();
+    /** Against queues that no answer comes out of in time, and a route that waits at every machine. */
+    private boolean hopeless(int r) {
+        return times.get(r).recent > set.routes().get(r).objective();
     }
 
     private Machine choose(Rq rq) {
