--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.*;
+import java.util.function.ToIntFunction;
 import java.util.zip.CRC32;
 import laurelkeel.api.Action;
 import laurelkeel.api.Action.Verdict;
@@ -33,6 +34,7 @@
     private static final double SURE = 3.0;
     private static final int LEAST = 20;
     private static final int LEAST_FAILS = 3;
+    private static final double OWN_FAULT = 0.05;
     private static final int LEAST_COMPLAINTS = 5;
     private static final double SLOWER = 1.75;
     private static final long MEMORY = 30 * SECOND;
@@ -136,43 +138,10 @@
         }
     }
 
-    /** Outcomes by second, build and route from one source. */
-    private static final class Book {
-        final int routes;
-        final TreeMap<Long, Map<Integer, Cell[]>> seconds = new TreeMap<>();
-
-        Book(int routes) {
-            this.routes = routes;
-        }
-
-        Cell cell(long at, int build, int route) {
-            return cell(seconds.computeIfAbsent(at / SECOND, k -> new TreeMap<>()), build, route);
-        }
-
-        Cell cell(Map<Integer, Cell[]> second, int build, int route) {
-            Cell[] cells = second.computeIfAbsent(build, k -> new Cell[routes]);
-            cells[route] = cells[route] == null ? new Cell() : cells[route];
-            return cells[route];
-        }
-
-        /** All seconds as if they were one, for a build that nothing serves beside any more. */
-        Map<Integer, Cell[]> whole() {
-            Map<Integer, Cell[]> all = new TreeMap<>();
-            seconds.values().forEach(second -> second.forEach((build, cells) -> {
-                for (int r = 0; r < routes; r++) {
-                    if (cells[r] != null) {
-                        cell(all, build, r).add(cells[r]);
-                    }
-                }
-            }));
-            return all;
-        }
-    }
-
-    /** One second of the instance: how much was sent, and how slow each machine was. */
+    /** One second of the instance: outcomes by build and route, and how slow each machine was. */
     private static final class Second {
-        int sends;
-        int trialSends;
+        final Map<Integer, Cell[]> builds = new TreeMap<>();
+        int taken, sends, trialSends;
         final Map<String, double[]> paces = new TreeMap<>();
 
         /** What two thirds of the machines exceed: half of them slow is no slow fleet; 0 for too few. */
@@ -239,7 +208,6 @@
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
     private final Map<String, Long> erred = new HashMap<>();
-    private final Book own;
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
@@ -259,7 +227,6 @@
 
     public Shifter(Settings settings, long seed) {
         this.set = settings;
-        this.own = new Book(settings.routes().size());
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
         // of many fronts, some see a lead by mere chance: the fewer votes send a build back, the surer each
         int enough = Math.max(1, settings.rollout().backVotes());
@@ -315,7 +282,7 @@
         } else if (e instanceof Complaint c) {
             Machine m = machines.get(c.machine());
             if (m != null) {
-                own.cell(now - c.sentAgo(), m.build, c.route()).complaints++;
+                cell(now - c.sentAgo(), m.build, c.route()).complaints++;
             }
         } else if (e instanceof TimerDue) {
             armedFor = Long.MAX_VALUE;
@@ -519,6 +486,7 @@
 
     private void take(Req r) {
         taken.get(scope(r.route())).addLast(now);
+        second(now).taken++;
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
         // a bad req fails again with each retry of its client, always at one build: it speaks once
@@ -571,6 +539,13 @@
     private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
         int r = rq.is.route();
+        double ratio = ratio(was, t.took(), r);
+        // where no answers come at all, a try given up late is all there is to tell how slow machines are
+        if (was.settled && (t.outcome() == Outcome.COMPLETED ? ratio > 0 : ratio > SHARED)) {
+            double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
+            sum[0] += ratio;
+            sum[1]++;
+        }
         switch (t.outcome()) {
             case COMPLETED -> {
                 m.strikes = 0;
@@ -594,35 +569,34 @@
         return (int) Math.min(LEVELS - 1, Math.round(2 * Math.log(Math.max(1, open)) / Math.log(2)));
     }
 
-    /** Like against like: an answer's time is held against those from machines as crowded as this one. */
-    private void learnPace(Machine m, Try was, long took, int r) {
-        int level = was.level;
+    /** Like against like: a time beside that of answers from machines as crowded; 0 where none tell. */
+    private double ratio(Try was, long took, int r) {
         Times t = times.get(r);
-        int known = level;
+        int known = was.level;
         while (known > 0 && t.seen[known] < 8) {
             known--;
         }
-        if (t.seen[known] >= 8) {
-            // a crowd never met is taken to wait nearly in turn, or overload would pass for a slow build
-            double usual = Math.max(1, t.usual[known]) * Math.pow(2, (level - known) / 3.0);
-            double ratio = Math.min(4, took / usual);
+        // a crowd never met is taken to wait nearly in turn, or overload would pass for a slow build
+        double usual = Math.max(1, t.usual[known]) * Math.pow(2, (was.level - known) / 3.0);
+        return t.seen[known] < 8 ? 0 : Math.min(4, took / usual);
+    }
+
+    private void learnPace(Machine m, Try was, long took, int r) {
+        Times t = times.get(r);
+        double ratio = ratio(was, took, r);
+        if (ratio > 0) {
             m.pace += (ratio - m.pace) * 0.06;
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 m.paced++;
-                own.cell(now, was.to.build, r).rate(ratio);
-            }
-            if (was.settled) {
-                double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
-                sum[0] += ratio;
-                sum[1]++;
+                cell(now, was.to.build, r).rate(ratio);
             }
             t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
-        if (judged() < 0 || was.to.build != judged() && t.seen[level] < 8) {
-            t.seen[level]++;
-            t.usual[level] += (took - t.usual[level]) * Math.max(0.05, 1.0 / t.seen[level]);
+        if (judged() < 0 || was.to.build != judged() && t.seen[was.level] < 8) {
+            t.seen[was.level]++;
+            t.usual[was.level] += (took - t.usual[was.level]) * Math.max(0.05, 1.0 / t.seen[was.level]);
         }
     }
 
@@ -835,6 +809,12 @@
         return seconds.computeIfAbsent(at / SECOND, k -> new Second());
     }
 
+    private Cell cell(long at, int build, int route) {
+        Cell[] cells = second(at).builds.computeIfAbsent(build, k -> new Cell[set.routes().size()]);
+        cells[route] = cells[route] == null ? new Cell() : cells[route];
+        return cells[route];
+    }
+
     private void judgeBuild(Try was, TryEnded t, Rq rq) {
         boolean error = t.outcome() == Outcome.ERROR;
         if (t.outcome() == Outcome.COMPLETED && rq.failedIn != null) {
@@ -843,7 +823,7 @@
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
         if (was.settled && counts && was.to.strikes < 2 && was.no == 0 && !rq.erredBefore) {
             // by when it was sent: errors come quickly, so a build whose share just rose has them first
-            Cell c = own.cell(was.sentAt, was.to.build, rq.is.route());
+            Cell c = cell(was.sentAt, was.to.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
             rq.failedIn = error ? c : null;
@@ -855,28 +835,39 @@
 
     /** What speaks against cand beside the earlier build, over the seconds both were seen; or null. */
     private String against(int cand, int rev) {
-        for (int r = 0; r <= own.routes; r++) {
-            String lead = leads(own, cand, rev, r, r < own.routes ? LEAST / 2 : LEAST, false);
-            lead = lead == null ? leads(own, cand, rev, r, LEAST, true) : lead;
-            if (lead != null) {
-                return lead;
+        // after the release nothing serves beside it: then the earlier build's last seconds stand
+        boolean beside = phase == Phase.TRIAL;
+        Cell[] earlier = total(rev, -1);
+        var over = beside ? seconds.headMap(now / SECOND - 1).values().stream().map(s -> s.builds).toList()
+                : List.of(Map.of(cand, total(cand, -1), rev, earlier));
+        int tries = Arrays.stream(earlier).mapToInt(c -> c.tries).sum();
+        // where reqs fail on the earlier build too, only one that another try cured speaks of its build
+        boolean cured = !beside || Arrays.stream(earlier).mapToInt(c -> c.fails).sum() > OWN_FAULT * tries;
+        for (int r = 0; r <= set.routes().size(); r++) {
+            int least = r < set.routes().size() ? LEAST / 2 : LEAST;
+            if (leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, LEAST_FAILS)) {
+                return "errors on route " + r;
+            }
+            if (leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS)) {
+                return "complaints on route " + r;
             }
         }
         // after the release no seconds are shared, and other loads than then pass for a slow build
-        String slow = phase == Phase.TRIAL ? slower(cand, sum(cand, rev), sum(rev, cand)) : null;
+        String slow = beside ? slower(cand, total(cand, rev), total(rev, cand)) : null;
         return slow == null ? slowsAll() : slow;
     }
 
-    /** A build's own outcomes over the seconds both builds were seen. */
-    private Cell sum(int build, int beside) {
-        Cell sum = new Cell();
-        for (Map<Integer, Cell[]> second : own.seconds.values()) {
-            Cell[] cells = second.containsKey(beside) ? second.get(build) : null;
-            for (int r = 0; cells != null && r < own.routes; r++) {
-                sum.add(cells[r] == null ? new Cell() : cells[r]);
+    /** A build's outcomes by route over the seconds beside was seen in too, or over all if it is below 0. */
+    private Cell[] total(int build, int beside) {
+        Cell[] total = new Cell[set.routes().size()];
+        Arrays.setAll(total, r -> new Cell());
+        for (Second second : seconds.values()) {
+            Cell[] cells = beside < 0 || second.builds.containsKey(beside) ? second.builds.get(build) : null;
+            for (int r = 0; cells != null && r < cells.length; r++) {
+                total[r].add(cells[r] == null ? new Cell() : cells[r]);
             }
         }
-        return sum;
+        return total;
     }
 
     /**
@@ -885,20 +876,20 @@
      */
     private String slowsAll() {
         double before = paceBefore();
-        double usual = seconds.values().stream().filter(s -> s.trialSends == 0).mapToInt(s -> s.sends)
+        double usual = seconds.values().stream().filter(s -> s.trialSends == 0).mapToInt(s -> s.taken)
                 .average().orElse(0);
-        int sends = 0;
+        int load = 0;
         int seen = 0;
         int slow = 0;
         for (Second s : seconds.tailMap(now / SECOND - LASTING).values()) {
             double pace = s.pace();
             seen += pace > 0 ? 1 : 0;
             slow += pace > SHARED * before && s.trialSends > 0.05 * s.sends ? 1 : 0;
-            sends += s.sends;
+            load += s.taken;
         }
-        // under more tries than before the trial, slowness proves nothing
-        boolean usualTries = before > 0 && sends < MORE * usual * LASTING;
-        boolean lasts = usualTries && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
+        // under more reqs than before the trial slowness proves nothing; sends would hide them by sheds
+        boolean usualLoad = before > 0 && load < MORE * usual * LASTING;
+        boolean lasts = usualLoad && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
         return lasts ? "slows all in " + slow + " of " + seen + " seconds, before " + before : null;
     }
 
@@ -908,15 +899,17 @@
     }
 
     /** Slow is a build surely slower by its answers and on most of its machines: one machine is no build. */
-    private String slower(int cand, Cell a, Cell b) {
-        int most = 0;
-        int seen = 0;
-        for (Machine m : machines.values()) {
-            boolean counts = m.live && m.build == cand && m.paced >= LEAST / 4;
-            seen += counts ? 1 : 0;
-            most += counts && m.pace > (1 + SLOWER) / 2 ? 1 : 0;
-        }
-        if (a.rated < 2 * LEAST || b.rated < 2 * LEAST || most < 2 || most * 6 < seen * 5) {
+    private String slower(int cand, Cell[] candOnes, Cell[] revOnes) {
+        Cell a = new Cell();
+        Cell b = new Cell();
+        for (int r = 0; r < candOnes.length; r++) {
+            a.add(candOnes[r]);
+            b.add(revOnes[r]);
+        }
+        List<Machine> seen = machines.values().stream()
+                .filter(m -> m.live && m.build == cand && m.paced >= LEAST / 4).toList();
+        long most = seen.stream().filter(m -> m.pace > (1 + SLOWER) / 2).count();
+        if (a.rated < 2 * LEAST || b.rated < 2 * LEAST || most < 2 || most * 6 < seen.size() * 5) {
             return null;
         }
         double x = a.ratio / a.rated;
@@ -931,42 +924,35 @@
      * A lead in failures or complaints, each second and route by itself: summed, a share that changes with
      * time or route passes for a lead of the build that has its traffic then.
      */
-    private String leads(Book book, int cand, int rev, int route, int least, boolean complaints) {
+    private boolean leads(Collection<Map<Integer, Cell[]>> over, int cand, int rev, int route,
+            ToIntFunction<Cell> what, int least, int leastHits) {
         double lead = 0;
         double doubt = 0;
         double weight = 0;
-        int tries = 0;
-        int fails = 0;
-        // after the release nothing serves beside it: then the earlier build's last seconds stand
-        boolean beside = phase == Phase.TRIAL;
-        var all = beside ? book.seconds.headMap(now / SECOND - 1).values() : List.of(book.whole());
-        for (Map<Integer, Cell[]> second : all) {
+        double tries = 0;
+        double hits = 0;
+        for (Map<Integer, Cell[]> second : over) {
             Cell[] x = second.get(cand);
             Cell[] y = second.get(rev);
-            for (int r = 0; x != null && y != null && r < book.routes; r++) {
-                if (route < book.routes && r != route || x[r] == null || y[r] == null) {
-                    continue;
-                }
-                double n = x[r].tries;
-                double m = y[r].tries;
-                // with no build beside it, only a req that another try cured tells a bad build from bad reqs
-                int f = complaints ? x[r].complaints : beside ? x[r].fails : x[r].cured;
-                int g = complaints ? y[r].complaints : beside ? y[r].fails : y[r].cured;
+            for (int r = 0; x != null && y != null && r < set.routes().size(); r++) {
+                boolean counts = (route == set.routes().size() || r == route) && x[r] != null && y[r] != null;
+                double n = counts ? x[r].tries : 0;
+                double m = counts ? y[r].tries : 0;
                 if (n > 0 && m > 0) {
+                    double f = what.applyAsInt(x[r]);
+                    double g = what.applyAsInt(y[r]);
                     double even = n * m / (n + m);
-                    double share = (f + g) / (n + m);
+                    double share = Math.min(1, (f + g) / (n + m));
                     lead += even * (f / n - g / m);
-                    doubt += even * share * Math.max(0, 1 - share) * (n + m) / (n + m - 1);
+                    doubt += even * share * (1 - share) * (n + m) / (n + m - 1);
                     weight += even;
-                    tries += x[r].tries;
-                    fails += f;
+                    tries += n;
+                    hits += f;
                 }
             }
         }
-        boolean leads = tries >= least && fails >= (complaints ? LEAST_COMPLAINTS : LEAST_FAILS)
-                && lead > MARGIN * weight && lead > sure * Math.sqrt(doubt);
-        String what = complaints ? "complaints " : "errors ";
-        return leads ? what + fails + " of " + tries + ", lead " + lead / weight : null;
+        boolean enough = tries >= least && hits >= leastHits;
+        return enough && lead > MARGIN * weight && lead > sure * Math.sqrt(doubt);
     }
 
     /** The build under judgement: on trial, or released a short while ago, when it can still be sent back. */
@@ -984,7 +970,7 @@
         if (judged() != newsBuild) {
             return Verdict.NONE;
         }
-        reason = against(newsBuild, rival);
+        reason = rival == newsBuild ? null : against(newsBuild, rival);
         if (reason != null) {
             return Verdict.BACK;
         }
@@ -1084,9 +1070,7 @@
             }
             forget(m.sends, now - keep);
         }
-        for (TreeMap<Long, ?> all : List.of(seconds, own.seconds)) {
-            all.headMap((now - MEMORY) / SECOND).clear();
-        }
+        seconds.headMap((now - MEMORY) / SECOND).clear();
         erred.values().removeIf(at -> at < now - MEMORY);
     }
 
