--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -57,27 +57,22 @@
     private static final long FRESH = 2 * SECOND;
 
     /** One upstream try, with the machine as it was when sent to: an id can come back as another machine. */
-    private record Try(int no, Machine to, long sentAt, boolean settled, int openThen, int level) { }
+    private record Try(int no, Machine to, long sentAt, boolean settled, int level) { }
 
     /** One req this front has taken. */
     private static final class Rq {
         final Req is;
-        final long takenAt;
+        final long takenAt, endBy;
         final double fraction;
-        final long endBy;
         int tries;
         Try out;
-        boolean stopped;
         Try firstMayHaveRun;
-        boolean keptOffTrial;
-        boolean erredBefore;
+        boolean keptOffTrial, stopped, wantEnd, ended;
         Cell failedIn;
         Set<Machine> met = Set.of();
         // wanted
         Machine want;
         long within;
-        boolean wantEnd;
-        boolean ended;
 
         Rq(Req is, long takenAt, double fraction) {
             this.is = is;
@@ -90,21 +85,14 @@
     /** One machine, as long as the list names it. */
     private static final class Machine {
         final String id;
-        final int build;
-        final int zone;
-        final int cell;
+        final int build, zone, cell;
         final long started;
         double size;
         boolean live;
-        int open;
-        int strikes;
-        long outUntil, fullUntil;
+        int open, strikes, paced;
+        long outUntil, fullUntil, answeredAt, luckUntil;
         double credit, wait, others;
-        long answeredAt;
-        double pace = 1, usualOpen = 1;
-        int paced;
-        double luck;
-        long luckUntil;
+        double pace = 1, luck;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
 
         Machine(Listed is) {
@@ -185,10 +173,8 @@
     private double span = 3;
     private final List<Times> times = new ArrayList<>();
     private double retryTokens = RETRY_MOST;
-    private double places;
     private final double sure;
-    private double answered;
-    private double wait;
+    private double answered, wait, places;
     private int answeredNow;
 
     // the trial
@@ -197,25 +183,20 @@
     private int stage;
     private double cap;
     private long stageSince;
-    private int trial = -1;
-    private int base = -1;
-    private int rival = -1;
-    private double baseAtStart;
-    private double threshold;
+    private int trial = -1, base = -1, rival = -1;
+    private double baseAtStart, threshold;
     private final Map<String, Integer> pins = new HashMap<>();
     private final TreeSet<Integer> released = new TreeSet<>(Set.of(-1));
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
-    private final Map<String, Long> erred = new HashMap<>();
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
     private Action.Vote stands;
     private Action.Vote asked;
     private long askedAt = Long.MIN_VALUE / 2;
-    private long stoodAt;
-    private long nextVerdict;
+    private long stoodAt, nextVerdict;
     private String reason;
 
     // the list
@@ -322,9 +303,7 @@
             m.live = i.state() == MachineState.LIVE;
         }
         if (l.kind() != ListKind.CHANGES) {
-            for (Machine m : machines.values()) {
-                m.live &= named.contains(m.id);
-            }
+            machines.values().forEach(m -> m.live &= named.contains(m.id));
         }
         machines.values().removeIf(m -> !m.live && m.open == 0 && !named.contains(m.id));
     }
@@ -365,11 +344,8 @@
     }
 
     private double warmSize(int build) {
-        double sum = 0;
-        for (Machine m : machines.values()) {
-            sum += m.live && m.build == build ? m.size * warmth(m) : 0;
-        }
-        return sum;
+        return machines.values().stream().filter(m -> m.live && m.build == build)
+                .mapToDouble(m -> m.size * warmth(m)).sum();
     }
 
     /** Which build is on trial and which is the earlier one; a build not yet in the news is on trial. */
@@ -404,10 +380,7 @@
         }
         base = earlier;
         rival = trial >= 0 ? base : rival;
-        double all = 0;
-        for (Machine m : machines.values()) {
-            all += m.live ? m.size : 0;
-        }
+        double all = machines.values().stream().filter(m -> m.live).mapToDouble(m -> m.size).sum();
         places = Math.max(all, places * 0.9999);
         baseAtStart = Math.max(baseAtStart, warmSize(base));
     }
@@ -489,8 +462,6 @@
         second(now).taken++;
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
-        // a bad req fails again with each retry of its client, always at one build: it speaks once
-        rq.erredBefore = r.key() != null && erred.containsKey(r.key());
         reqs.put(r.id(), rq);
         alarm(rq, rq.endBy);
         alarm(rq, now + set.routes().get(r.route()).objective() - LAST_CALL);
@@ -539,13 +510,6 @@
     private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
         int r = rq.is.route();
-        double ratio = ratio(was, t.took(), r);
-        // where no answers come at all, a try given up late is all there is to tell how slow machines are
-        if (was.settled && (t.outcome() == Outcome.COMPLETED ? ratio > 0 : ratio > SHARED)) {
-            double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
-            sum[0] += ratio;
-            sum[1]++;
-        }
         switch (t.outcome()) {
             case COMPLETED -> {
                 m.strikes = 0;
@@ -569,28 +533,28 @@
         return (int) Math.min(LEVELS - 1, Math.round(2 * Math.log(Math.max(1, open)) / Math.log(2)));
     }
 
-    /** Like against like: a time beside that of answers from machines as crowded; 0 where none tell. */
-    private double ratio(Try was, long took, int r) {
+    /** Like against like: an answer's time is held against those from machines as crowded as this one. */
+    private void learnPace(Machine m, Try was, long took, int r) {
         Times t = times.get(r);
         int known = was.level;
         while (known > 0 && t.seen[known] < 8) {
             known--;
         }
-        // a crowd never met is taken to wait nearly in turn, or overload would pass for a slow build
-        double usual = Math.max(1, t.usual[known]) * Math.pow(2, (was.level - known) / 3.0);
-        return t.seen[known] < 8 ? 0 : Math.min(4, took / usual);
-    }
-
-    private void learnPace(Machine m, Try was, long took, int r) {
-        Times t = times.get(r);
-        double ratio = ratio(was, took, r);
-        if (ratio > 0) {
+        if (t.seen[known] >= 8) {
+            // a crowd never met is taken to wait nearly in turn, or overload would pass for a slow build
+            double usual = Math.max(1, t.usual[known]) * Math.pow(2, (was.level - known) / 3.0);
+            double ratio = Math.min(4, took / usual);
             m.pace += (ratio - m.pace) * 0.06;
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 m.paced++;
                 cell(now, was.to.build, r).rate(ratio);
             }
+            if (was.settled) {
+                double[] sum = second(now).paces.computeIfAbsent(m.id, k -> new double[2]);
+                sum[0] += ratio;
+                sum[1]++;
+            }
             t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
@@ -613,14 +577,12 @@
         m.wait += (took - t.calm - m.wait) * 0.15;
         m.answeredAt = now;
         wait += (took - t.calm - wait) * Math.max(0.02, Math.min(0.2, 1 / (2 * answered + 1)));
-        m.usualOpen += (was.openThen - m.usualOpen) * 0.15;
     }
 
     /** What a machine showed a while ago says little: then the wait at all machines stands for it. */
     private double expectedWait(Machine m) {
         double fresh = Math.max(0, 1 - (now - m.answeredAt) / (double) FRESH);
-        double own = Math.max(0, m.wait) * (m.open + 1) / Math.max(1, m.usualOpen);
-        return fresh * own + (1 - fresh) * Math.max(0, wait);
+        return fresh * Math.max(0, m.wait) + (1 - fresh) * Math.max(0, wait);
     }
 
     private double slack(int r) {
@@ -689,9 +651,11 @@
             boolean again = rq.tries > 0;
             boolean may = mayResend(rq) && (!again || retryTokens >= 1);
             rq.want = may ? choose(rq) : null;
-            // two tries of a route go out at any wait: a front that only sheds would never learn of its end
-            if (rq.want != null && times.get(rq.is.route()).open >= 2
-                    && (hopeless(rq.is.route()) || expectedWait(rq.want) > yieldAt(rq.is.route()))) {
+            // a route whose answers all come late only holds places, whatever keeps them; but two tries
+            // go out at any wait: a front that only sheds would never learn of its end
+            Times t = times.get(rq.is.route());
+            if (rq.want != null && t.open >= 2
+                    && (t.recent > route.objective() || expectedWait(rq.want) > yieldAt(rq.is.route()))) {
                 rq.want = null;
             }
             rq.wantEnd = rq.want == null;
@@ -703,11 +667,6 @@
         }
     }
 
-    /** Against queues that no answer comes out of in time, and a route that waits at every machine. */
-    private boolean hopeless(int r) {
-        return times.get(r).recent > set.routes().get(r).objective();
-    }
-
     private Machine choose(Rq rq) {
         int pin = rq.is.key() == null ? -1 : pins.getOrDefault(rq.is.key(), -1);
         if (pin > base) {
@@ -821,30 +780,27 @@
             rq.failedIn.cured++;
         }
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        if (was.settled && counts && was.to.strikes < 2 && was.no == 0 && !rq.erredBefore) {
+        if (was.settled && counts && was.to.strikes < 2 && was.no == 0) {
             // by when it was sent: errors come quickly, so a build whose share just rose has them first
             Cell c = cell(was.sentAt, was.to.build, rq.is.route());
             c.tries++;
             c.fails += error ? 1 : 0;
             rq.failedIn = error ? c : null;
         }
-        if (error && rq.is.key() != null) {
-            erred.put(rq.is.key(), now);
-        }
     }
 
     /** What speaks against cand beside the earlier build, over the seconds both were seen; or null. */
     private String against(int cand, int rev) {
         // after the release nothing serves beside it: then the earlier build's last seconds stand
         boolean beside = phase == Phase.TRIAL;
+        int routes = set.routes().size();
         Cell[] earlier = total(rev, -1);
         var over = beside ? seconds.headMap(now / SECOND - 1).values().stream().map(s -> s.builds).toList()
                 : List.of(Map.of(cand, total(cand, -1), rev, earlier));
-        int tries = Arrays.stream(earlier).mapToInt(c -> c.tries).sum();
         // where reqs fail on the earlier build too, only one that another try cured speaks of its build
-        boolean cured = !beside || Arrays.stream(earlier).mapToInt(c -> c.fails).sum() > OWN_FAULT * tries;
-        for (int r = 0; r <= set.routes().size(); r++) {
-            int least = r < set.routes().size() ? LEAST / 2 : LEAST;
+        boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
+        for (int r = 0; r <= routes; r++) {
+            int least = r < routes ? LEAST / 2 : LEAST;
             if (leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, LEAST_FAILS)) {
                 return "errors on route " + r;
             }
@@ -853,18 +809,20 @@
             }
         }
         // after the release no seconds are shared, and other loads than then pass for a slow build
-        String slow = beside ? slower(cand, total(cand, rev), total(rev, cand)) : null;
+        String slow = beside ? slower(cand, total(cand, rev)[routes], total(rev, cand)[routes]) : null;
         return slow == null ? slowsAll() : slow;
     }
 
-    /** A build's outcomes by route over the seconds beside was seen in too, or over all if it is below 0. */
+    /** A build's outcomes by route, last all routes', over the seconds beside was seen in; below 0 all. */
     private Cell[] total(int build, int beside) {
-        Cell[] total = new Cell[set.routes().size()];
+        Cell[] total = new Cell[set.routes().size() + 1];
         Arrays.setAll(total, r -> new Cell());
         for (Second second : seconds.values()) {
             Cell[] cells = beside < 0 || second.builds.containsKey(beside) ? second.builds.get(build) : null;
             for (int r = 0; cells != null && r < cells.length; r++) {
-                total[r].add(cells[r] == null ? new Cell() : cells[r]);
+                Cell cell = cells[r] == null ? new Cell() : cells[r];
+                total[r].add(cell);
+                total[cells.length].add(cell);
             }
         }
         return total;
@@ -878,9 +836,7 @@
         double before = paceBefore();
         double usual = seconds.values().stream().filter(s -> s.trialSends == 0).mapToInt(s -> s.taken)
                 .average().orElse(0);
-        int load = 0;
-        int seen = 0;
-        int slow = 0;
+        int load = 0, seen = 0, slow = 0;
         for (Second s : seconds.tailMap(now / SECOND - LASTING).values()) {
             double pace = s.pace();
             seen += pace > 0 ? 1 : 0;
@@ -899,13 +855,7 @@
     }
 
     /** Slow is a build surely slower by its answers and on most of its machines: one machine is no build. */
-    private String slower(int cand, Cell[] candOnes, Cell[] revOnes) {
-        Cell a = new Cell();
-        Cell b = new Cell();
-        for (int r = 0; r < candOnes.length; r++) {
-            a.add(candOnes[r]);
-            b.add(revOnes[r]);
-        }
+    private String slower(int cand, Cell a, Cell b) {
         List<Machine> seen = machines.values().stream()
                 .filter(m -> m.live && m.build == cand && m.paced >= LEAST / 4).toList();
         long most = seen.stream().filter(m -> m.pace > (1 + SLOWER) / 2).count();
@@ -926,11 +876,7 @@
      */
     private boolean leads(Collection<Map<Integer, Cell[]>> over, int cand, int rev, int route,
             ToIntFunction<Cell> what, int least, int leastHits) {
-        double lead = 0;
-        double doubt = 0;
-        double weight = 0;
-        double tries = 0;
-        double hits = 0;
+        double lead = 0, doubt = 0, weight = 0, tries = 0, hits = 0;
         for (Map<Integer, Cell[]> second : over) {
             Cell[] x = second.get(cand);
             Cell[] y = second.get(rev);
@@ -974,19 +920,14 @@
         if (reason != null) {
             return Verdict.BACK;
         }
-        if (phase == Phase.TRIAL) {
-            boolean on = now >= Math.max(stageSince, newest(newsBuild)) + READY
-                    && set.rollout().control() != Control.CLOCK;
-            return on ? Verdict.ON : Verdict.NONE;
-        }
-        return Verdict.NONE;
+        boolean waited = now >= Math.max(stageSince, newest(newsBuild)) + READY;
+        boolean on = phase == Phase.TRIAL && waited && set.rollout().control() != Control.CLOCK;
+        return on ? Verdict.ON : Verdict.NONE;
     }
 
     private Action.Vote wantedVote() {
-        if (newsBuild < 0 || now < nextVerdict) {
-            return null;
-        }
-        if (asked != null && now < askedAt + set.rollout().voteTimeout() + SECOND / 2) {
+        boolean waits = asked != null && now < askedAt + set.rollout().voteTimeout() + SECOND / 2;
+        if (newsBuild < 0 || now < nextVerdict || waits) {
             return null;
         }
         nextVerdict = now + SECOND / 4;
@@ -1040,8 +981,7 @@
         }
         if (rq.want != null && !rq.ended) {
             boolean settled = rq.want.started == 0 || now >= rq.want.started + READY;
-            int open = rq.want.open;
-            rq.out = new Try(rq.tries++, rq.want, now, settled, open, level(open + rq.want.others));
+            rq.out = new Try(rq.tries++, rq.want, now, settled, level(rq.want.open + rq.want.others));
             out.add(new Action.Send(rq.is.id(), rq.want.id, rq.within));
         }
         rq.want = null;
@@ -1058,11 +998,8 @@
         answeredNow = 0;
         tickedAt = now;
         long keep = Math.max(set.rollout().window(), set.limits().tipAfter()) + SECOND;
-        for (List<ArrayDeque<Long>> all : List.of(taken, exposed)) {
-            for (ArrayDeque<Long> times : all) {
-                forget(times, now - keep);
-            }
-        }
+        taken.forEach(times -> forget(times, now - keep));
+        exposed.forEach(times -> forget(times, now - keep));
         for (Machine m : machines.values()) {
             if (now >= m.luckUntil) {
                 m.luck = chance();
@@ -1071,7 +1008,6 @@
             forget(m.sends, now - keep);
         }
         seconds.headMap((now - MEMORY) / SECOND).clear();
-        erred.values().removeIf(at -> at < now - MEMORY);
     }
 
     private static void forget(ArrayDeque<Long> times, long before) {
