--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -27,7 +27,7 @@
     // ---- tuned values; docs/design.md says what each was tried against
     private static final double TARGET = 0.8;
     private static final double RESERVE = 0.15;
-    private static final double RAMP = 1.25;
+    private static final double RAMP = 1;
     private static final int MOST_PINS = 200_000;
     private static final long READY = 3 * SECOND;
     private static final double MARGIN = 0.02;
@@ -55,9 +55,10 @@
     private static final double CALM_DRIFT = 1.02;
     private static final double YIELD = 0.7;
     private static final long FRESH = 2 * SECOND;
+    private static final long REPEATS = 5 * SECOND;
 
     /** One upstream try, with the machine as it was when sent to: an id can come back as another machine. */
-    private record Try(int no, Machine to, long sentAt, boolean settled, int level) { }
+    private record Try(int no, Machine to, long sentAt, boolean settled, int openThen, int level) { }
 
     /** One req this front has taken. */
     private static final class Rq {
@@ -67,7 +68,7 @@
         int tries;
         Try out;
         Try firstMayHaveRun;
-        boolean keptOffTrial, stopped, wantEnd, ended;
+        boolean repeat, keptOffTrial, stopped, wantEnd, ended;
         Cell failedIn;
         Set<Machine> met = Set.of();
         // wanted
@@ -92,7 +93,7 @@
         int open, strikes, paced;
         long outUntil, fullUntil, answeredAt, luckUntil;
         double credit, wait, others;
-        double pace = 1, luck;
+        double pace = 1, usualOpen = 1, luck;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
 
         Machine(Listed is) {
@@ -190,6 +191,7 @@
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
     private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
+    private final Map<String, Long> given = new HashMap<>();
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
@@ -459,9 +461,11 @@
 
     private void take(Req r) {
         taken.get(scope(r.route())).addLast(now);
-        second(now).taken++;
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
+        // clients ask again for what was shed: neither more load nor further evidence
+        rq.repeat = r.repeat() || r.key() != null && given.getOrDefault(r.key(), -REPEATS) > now - REPEATS;
+        second(now).taken += rq.repeat ? 0 : 1;
         reqs.put(r.id(), rq);
         alarm(rq, rq.endBy);
         alarm(rq, now + set.routes().get(r.route()).objective() - LAST_CALL);
@@ -576,13 +580,15 @@
         }
         m.wait += (took - t.calm - m.wait) * 0.15;
         m.answeredAt = now;
+        m.usualOpen += (was.openThen - m.usualOpen) * 0.15;
         wait += (took - t.calm - wait) * Math.max(0.02, Math.min(0.2, 1 / (2 * answered + 1)));
     }
 
     /** What a machine showed a while ago says little: then the wait at all machines stands for it. */
     private double expectedWait(Machine m) {
         double fresh = Math.max(0, 1 - (now - m.answeredAt) / (double) FRESH);
-        return fresh * Math.max(0, m.wait) + (1 - fresh) * Math.max(0, wait);
+        double own = Math.max(0, m.wait) * (m.open + 1) / Math.max(1, m.usualOpen);
+        return fresh * own + (1 - fresh) * Math.max(0, wait);
     }
 
     private double slack(int r) {
@@ -780,7 +786,7 @@
             rq.failedIn.cured++;
         }
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        if (was.settled && counts && was.to.strikes < 2 && was.no == 0) {
+        if (was.settled && counts && was.to.strikes < 2 && was.no == 0 && !rq.repeat) {
             // by when it was sent: errors come quickly, so a build whose share just rose has them first
             Cell c = cell(was.sentAt, was.to.build, rq.is.route());
             c.tries++;
@@ -974,6 +980,9 @@
             out.add(shedAllowed(rq) ? new Action.Shed(rq.is.id(), set.allowed().longestRetryAfter())
                     : new Action.Err(rq.is.id()));
             rq.ended = true;
+            if (rq.is.key() != null) {
+                given.put(rq.is.key(), now);
+            }
         }
         if (rq.ended && rq.out != null && !rq.stopped && set.allowed().stops()) {
             rq.stopped = true;
@@ -981,7 +990,8 @@
         }
         if (rq.want != null && !rq.ended) {
             boolean settled = rq.want.started == 0 || now >= rq.want.started + READY;
-            rq.out = new Try(rq.tries++, rq.want, now, settled, level(rq.want.open + rq.want.others));
+            int open = rq.want.open;
+            rq.out = new Try(rq.tries++, rq.want, now, settled, open, level(open + rq.want.others));
             out.add(new Action.Send(rq.is.id(), rq.want.id, rq.within));
         }
         rq.want = null;
@@ -1008,6 +1018,7 @@
             forget(m.sends, now - keep);
         }
         seconds.headMap((now - MEMORY) / SECOND).clear();
+        given.values().removeIf(at -> at < now - REPEATS);
     }
 
     private static void forget(ArrayDeque<Long> times, long before) {
