--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -27,7 +27,6 @@
     // ---- tuned values; docs/design.md says what each was tried against
     private static final double TARGET = 0.8;
     private static final double RESERVE = 0.15;
-    private static final double RAMP = 1;
     private static final int MOST_PINS = 200_000;
     private static final long READY = 3 * SECOND;
     private static final double MARGIN = 0.02;
@@ -195,16 +194,14 @@
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
     // the vote
-    private Action.Vote stands;
-    private Action.Vote asked;
+    private Action.Vote stands, asked;
     private long askedAt = Long.MIN_VALUE / 2;
     private long stoodAt, nextVerdict;
     private String reason;
 
     // the list
     private boolean listAsked;
-    private long listAskAt;
-    private long listPause = SECOND / 2;
+    private long listAskAt, listPause = SECOND / 2;
 
     private final List<Action> out = new ArrayList<>();
 
@@ -420,7 +417,7 @@
         }
         double on = warmSize(trial);
         double off = warmSize(base);
-        double target = Math.min(TARGET * trialCap(), RAMP * on / Math.max(baseAtStart, 1e-9));
+        double target = Math.min(TARGET * trialCap(), on / Math.max(baseAtStart, 1e-9));
         if (off < (1 - TARGET * trialCap()) * baseAtStart) {
             target = Math.max(target, Math.min(trialCap(), on / (on + off)));
         }
@@ -464,7 +461,7 @@
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATE);
         Rq rq = new Rq(r, now, r.key() == null ? chance() : -1);
         // clients ask again for what was shed: neither more load nor further evidence
-        rq.repeat = r.repeat() || r.key() != null && given.getOrDefault(r.key(), -REPEATS) > now - REPEATS;
+        rq.repeat = r.repeat() || r.key() != null && given.containsKey(r.key());
         second(now).taken += rq.repeat ? 0 : 1;
         reqs.put(r.id(), rq);
         alarm(rq, rq.endBy);
@@ -596,8 +593,7 @@
     }
 
     private double density(int r) {
-        double earnings = set.routes().get(r).earnings();
-        return set.earningsByWork() ? earnings : earnings / times.get(r).calm;
+        return set.routes().get(r).earnings() / (set.earningsByWork() ? 1 : times.get(r).calm);
     }
 
     /** The wait at which a route gives way: its own slack, or less for the sake of routes that earn more. */
@@ -613,12 +609,10 @@
     }
 
     private boolean mayResend(Rq rq) {
-        if (rq.tries >= set.allowed().tries()) {
-            return false;
-        }
         Route route = set.routes().get(rq.is.route());
-        return rq.firstMayHaveRun == null || route.effect() == Effect.RETRIABLE
-                || route.effect() == Effect.DEDUPED && inWindow(rq.firstMayHaveRun, route);
+        return rq.tries < set.allowed().tries() && (rq.firstMayHaveRun == null
+                || route.effect() == Effect.RETRIABLE
+                || route.effect() == Effect.DEDUPED && inWindow(rq.firstMayHaveRun, route));
     }
 
     private boolean inWindow(Try first, Route route) {
@@ -980,9 +974,7 @@
             out.add(shedAllowed(rq) ? new Action.Shed(rq.is.id(), set.allowed().longestRetryAfter())
                     : new Action.Err(rq.is.id()));
             rq.ended = true;
-            if (rq.is.key() != null) {
-                given.put(rq.is.key(), now);
-            }
+            given.put(String.valueOf(rq.is.key()), now);
         }
         if (rq.ended && rq.out != null && !rq.stopped && set.allowed().stops()) {
             rq.stopped = true;
