--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -36,6 +36,7 @@
     private static final double OWN_FAULT = 0.05;
     private static final int LEAST_COMPLAINTS = 5;
     private static final double SLOWER = 1.75;
+    private static final double SLOWER_ALONE = 1.3;
     private static final long MEMORY = 30 * SECOND;
     private static final long TICK = SECOND / 10;
     private static final long LAST_CALL = 150;
@@ -795,7 +796,7 @@
         boolean beside = phase == Phase.TRIAL;
         int routes = set.routes().size();
         Cell[] earlier = total(rev, -1);
-        var over = beside ? seconds.headMap(now / SECOND - 1).values().stream().map(s -> s.builds).toList()
+        var over = beside ? seconds.values().stream().map(s -> s.builds).toList()
                 : List.of(Map.of(cand, total(cand, -1), rev, earlier));
         // where reqs fail on the earlier build too, only one that another try cured speaks of its build
         boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
@@ -808,8 +809,10 @@
                 return "complaints on route " + r;
             }
         }
-        // after the release no seconds are shared, and other loads than then pass for a slow build
-        String slow = beside ? slower(cand, total(cand, rev)[routes], total(rev, cand)[routes]) : null;
+        // after the release no seconds are shared, and another load may pass for a slow build: surer then
+        double most = beside ? SLOWER : SLOWER * SLOWER_ALONE;
+        Cell a = total(cand, beside ? rev : -1)[routes];
+        String slow = slower(cand, most, a, beside ? total(rev, cand)[routes] : earlier[routes]);
         return slow == null ? slowsAll() : slow;
     }
 
@@ -855,10 +858,10 @@
     }
 
     /** Slow is a build surely slower by its answers and on most of its machines: one machine is no build. */
-    private String slower(int cand, Cell a, Cell b) {
+    private String slower(int cand, double least, Cell a, Cell b) {
         List<Machine> seen = machines.values().stream()
                 .filter(m -> m.live && m.build == cand && m.paced >= LEAST / 4).toList();
-        long most = seen.stream().filter(m -> m.pace > (1 + SLOWER) / 2).count();
+        long most = seen.stream().filter(m -> m.pace > (1 + least) / 2).count();
         if (a.rated < 2 * LEAST || b.rated < 2 * LEAST || most < 2 || most * 6 < seen.size() * 5) {
             return null;
         }
@@ -866,7 +869,7 @@
         double y = Math.max(1, b.ratio / b.rated);
         double doubt =
                 Math.sqrt((a.square / a.rated - x * x) / a.rated + (b.square / b.rated - y * y) / b.rated);
-        boolean slow = x > SLOWER * y && x - (1 + SLOWER) / 2 * y > sure * doubt;
+        boolean slow = x > least * y && x - (1 + least) / 2 * y > sure * doubt;
         return slow ? "slow " + x + " of " + a.rated + ", earlier " + y + " of " + b.rated : null;
     }
 
@@ -876,7 +879,7 @@
      */
     private boolean leads(Collection<Map<Integer, Cell[]>> over, int cand, int rev, int route,
             ToIntFunction<Cell> what, int least, int leastHits) {
-        double lead = 0, doubt = 0, weight = 0, tries = 0, hits = 0;
+        double lead = 0, weight = 0, tries = 0, hits = 0, all = 0, allHits = 0;
         for (Map<Integer, Cell[]> second : over) {
             Cell[] x = second.get(cand);
             Cell[] y = second.get(rev);
@@ -888,17 +891,18 @@
                     double f = what.applyAsInt(x[r]);
                     double g = what.applyAsInt(y[r]);
                     double even = n * m / (n + m);
-                    double share = Math.min(1, (f + g) / (n + m));
                     lead += even * (f / n - g / m);
-                    doubt += even * share * (1 - share) * (n + m) / (n + m - 1);
                     weight += even;
+                    all += n + m;
+                    allHits += f + g;
                     tries += n;
                     hits += f;
                 }
             }
         }
-        boolean enough = tries >= least && hits >= leastHits;
-        return enough && lead > MARGIN * weight && lead > sure * Math.sqrt(doubt);
+        // the doubt by the share over all: a second of few tries shows too little of its own
+        double doubt = Math.sqrt(weight * allHits / all * Math.max(0, 1 - allHits / all));
+        return tries >= least && hits >= leastHits && lead > MARGIN * weight && lead > sure * doubt;
     }
 
     /** The build under judgement: on trial, or released a short while ago, when it can still be sent back. */
