--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -27,6 +27,7 @@
     // ---- tuned values; docs/design.md says what each was tried against
     private static final double TARGET = 0.8;
     private static final double RESERVE = 0.15;
+    private static final double RAMP = 1.25;
     private static final int MOST_PINS = 200_000;
     private static final long READY = 3 * SECOND;
     private static final double MARGIN = 0.02;
@@ -35,8 +36,7 @@
     private static final int LEAST_FAILS = 3;
     private static final double OWN_FAULT = 0.05;
     private static final int LEAST_COMPLAINTS = 5;
-    private static final double SLOWER = 1.75;
-    private static final double SLOWER_ALONE = 1.3;
+    private static final double SLOWER = 2;
     private static final long MEMORY = 30 * SECOND;
     private static final long TICK = SECOND / 10;
     private static final long LAST_CALL = 150;
@@ -418,7 +418,7 @@
         }
         double on = warmSize(trial);
         double off = warmSize(base);
-        double target = Math.min(TARGET * trialCap(), on / Math.max(baseAtStart, 1e-9));
+        double target = Math.min(TARGET * trialCap(), RAMP * on / Math.max(baseAtStart, 1e-9));
         if (off < (1 - TARGET * trialCap()) * baseAtStart) {
             target = Math.max(target, Math.min(trialCap(), on / (on + off)));
         }
@@ -799,20 +799,19 @@
         var over = beside ? seconds.values().stream().map(s -> s.builds).toList()
                 : List.of(Map.of(cand, total(cand, -1), rev, earlier));
         // where reqs fail on the earlier build too, only one that another try cured speaks of its build
+        int fails = set.rollout().backVotes() > 1 ? LEAST_FAILS - 1 : LEAST_FAILS;
         boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
         for (int r = 0; r <= routes; r++) {
             int least = r < routes ? LEAST / 2 : LEAST;
-            if (leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, LEAST_FAILS)) {
+            if (leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails)) {
                 return "errors on route " + r;
             }
             if (leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS)) {
                 return "complaints on route " + r;
             }
         }
-        // after the release no seconds are shared, and another load may pass for a slow build: surer then
-        double most = beside ? SLOWER : SLOWER * SLOWER_ALONE;
-        Cell a = total(cand, beside ? rev : -1)[routes];
-        String slow = slower(cand, most, a, beside ? total(rev, cand)[routes] : earlier[routes]);
+        // after the release no seconds are shared, and other loads than then pass for a slow build
+        String slow = beside ? slower(cand, total(cand, rev)[routes], total(rev, cand)[routes]) : null;
         return slow == null ? slowsAll() : slow;
     }
 
@@ -858,10 +857,10 @@
     }
 
     /** Slow is a build surely slower by its answers and on most of its machines: one machine is no build. */
-    private String slower(int cand, double least, Cell a, Cell b) {
+    private String slower(int cand, Cell a, Cell b) {
         List<Machine> seen = machines.values().stream()
                 .filter(m -> m.live && m.build == cand && m.paced >= LEAST / 4).toList();
-        long most = seen.stream().filter(m -> m.pace > (1 + least) / 2).count();
+        long most = seen.stream().filter(m -> m.pace > (1 + SLOWER) / 2).count();
         if (a.rated < 2 * LEAST || b.rated < 2 * LEAST || most < 2 || most * 6 < seen.size() * 5) {
             return null;
         }
@@ -869,7 +868,7 @@
         double y = Math.max(1, b.ratio / b.rated);
         double doubt =
                 Math.sqrt((a.square / a.rated - x * x) / a.rated + (b.square / b.rated - y * y) / b.rated);
-        boolean slow = x > least * y && x - (1 + least) / 2 * y > sure * doubt;
+        boolean slow = x > SLOWER * y && x - (1 + SLOWER) / 2 * y > sure * doubt;
         return slow ? "slow " + x + " of " + a.rated + ", earlier " + y + " of " + b.rated : null;
     }
 
