--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -144,7 +144,6 @@
     private static final class Times {
         final double[] usual = new double[LEVELS];
         final int[] seen = new int[LEVELS];
-        double spread = 0.5;
         double calm;
         double runSum, recent;
         int runCount, open;
@@ -557,7 +556,6 @@
                 sum[0] += ratio;
                 sum[1]++;
             }
-            t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
         if (judged() < 0 || was.to.build != judged() && t.seen[was.level] < 8) {
@@ -742,13 +740,10 @@
         long left = rq.endBy - now;
         boolean again = route.effect() != Effect.NON_RETRIABLE && rq.tries + 1 < set.allowed().tries();
         Times t = times.get(rq.is.route());
-        int level = level(rq.want.open);
-        double typical = t.seen[level] < 8 ? t.calm : t.usual[level];
-        double patient = Math.max(typical * (1 + 6 * t.spread), 0.35 * route.objective());
-        if (!again || patient + typical > route.objective() || retryTokens < 2) {
-            return left;
-        }
-        return Math.min(left, (long) patient);
+        // as long as another whole try can still end in time
+        double calm = times.get(rq.is.route()).calm;
+        double patient = Math.max(route.objective() - 2 * calm, 0.35 * route.objective());
+        return again && retryTokens >= 2 ? Math.min(left, (long) patient) : left;
     }
 
     private void send(Rq rq) {
