--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -144,6 +144,7 @@
     private static final class Times {
         final double[] usual = new double[LEVELS];
         final int[] seen = new int[LEVELS];
+        double spread = 0.5;
         double calm;
         double runSum, recent;
         int runCount, open;
@@ -556,6 +557,7 @@
                 sum[0] += ratio;
                 sum[1]++;
             }
+            t.spread += (Math.abs(ratio - 1) - t.spread) * 0.02;
         }
         // while a build is on trial the usual stands still, or harm that both builds share would become usual
         if (judged() < 0 || was.to.build != judged() && t.seen[was.level] < 8) {
@@ -740,10 +742,11 @@
         long left = rq.endBy - now;
         boolean again = route.effect() != Effect.NON_RETRIABLE && rq.tries + 1 < set.allowed().tries();
         Times t = times.get(rq.is.route());
-        // as long as another whole try can still end in time
-        double calm = times.get(rq.is.route()).calm;
-        double patient = Math.max(route.objective() - 2 * calm, 0.35 * route.objective());
-        return again && retryTokens >= 2 ? Math.min(left, (long) patient) : left;
+        int level = level(rq.want.open);
+        double typical = t.seen[level] < 8 ? t.calm : t.usual[level];
+        double patient = Math.max(typical * (1 + 6 * t.spread), 0.35 * route.objective());
+        boolean waits = !again || patient + typical > route.objective() || retryTokens < 2;
+        return waits ? left : Math.min(left, (long) patient);
     }
 
     private void send(Rq rq) {
@@ -794,6 +797,7 @@
         var over = beside ? seconds.values().stream().map(s -> s.builds).toList()
                 : List.of(Map.of(cand, total(cand, -1), rev, earlier));
         // where reqs fail on the earlier build too, only one that another try cured speaks of its build
+        // one front's finding alone must be surer than one that others must share
         int fails = set.rollout().backVotes() > 1 ? LEAST_FAILS - 1 : LEAST_FAILS;
         boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
         for (int r = 0; r <= routes; r++) {
