--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -91,7 +91,7 @@
         double size;
         boolean live;
         int open, strikes, paced;
-        long outUntil, fullUntil, answeredAt, luckUntil, toldAt;
+        long outUntil, fullUntil, answeredAt, luckUntil;
         double credit, wait, others;
         double pace = 1, usualOpen = 1, luck;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
@@ -169,15 +169,12 @@
             new PriorityQueue<>(Comparator.comparingLong(Alarm::at).thenComparingLong(Alarm::order));
     private long alarmCount;
     private long armedFor = Long.MAX_VALUE;
-    private long nextTick;
-    private long tickedAt;
+    private long nextTick, tickedAt;
     private double span = 3;
     private final List<Times> times = new ArrayList<>();
     private double retryTokens = RETRY_MOST;
     private final double sure;
-    private double answered, wait, places, crowd;
-    private boolean probesTell = true;
-    private final Set<String> probes = new LinkedHashSet<>();
+    private double answered, wait, places;
     private int answeredNow;
 
     // the trial
@@ -267,10 +264,6 @@
             if (m != null) {
                 cell(now - c.sentAgo(), m.build, c.route()).complaints++;
             }
-        } else if (e instanceof Probed p && machines.containsKey(p.machine())) {
-            // a probe that tells no load is not worth its price
-            probesTell &= p.outcome() != Outcome.COMPLETED || p.load().containsKey("concurrent");
-            tells(machines.get(p.machine()), p.load().get("concurrent"), 0);
         } else if (e instanceof TimerDue) {
             armedFor = Long.MAX_VALUE;
         }
@@ -494,8 +487,10 @@
         if (!neverRan && rq.firstMayHaveRun == null) {
             rq.firstMayHaveRun = was;
         }
-        tells(was.to, t.load().get("concurrent"), 1);
-        probesTell &= t.load().isEmpty();
+        Double inHand = t.load().get("concurrent");
+        if (inHand != null) {
+            was.to.others = Math.max(0, inHand - was.to.open - 1);
+        }
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
         if (t.outcome() == Outcome.COMPLETED) {
@@ -513,20 +508,6 @@
         touched.add(rq);
     }
 
-    /** What a machine says it holds besides this front's tries; itself is the one just answered. */
-    private void tells(Machine m, Double inHand, int itself) {
-        if (inHand != null) {
-            m.others = Math.max(0, inHand - m.open - itself);
-            m.toldAt = now;
-            crowd += (m.others - crowd) * 0.05;
-        }
-    }
-
-    /** What was told a while ago says nothing: then what machines hold in the mean stands for it. */
-    private double held(Machine m) {
-        return m.open + (m.toldAt > 0 && now - m.toldAt < FRESH ? m.others : crowd);
-    }
-
     private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
         int r = rq.is.route();
@@ -729,12 +710,6 @@
         }
         if (best != null) {
             best.credit -= sum;
-            // one machine a req shows its load to the next ones: turns alone meet queues at random
-            if (set.allowed().probes() && probesTell) {
-                Machine next = from.get((int) (chance() * from.size()));
-                next = next.zone == set.zone() ? next : from.get((int) (chance() * from.size()));
-                probes.add(next.id);
-            }
         }
         return best;
     }
@@ -746,7 +721,7 @@
     /** What a machine is known to hold, for its weight; a crossing counts as so much held. */
     private double strain(Machine m) {
         double far = m.zone == set.zone() ? 0 : CROSS * set.prices().crossZone();
-        return (held(m) + far) / weight(m);
+        return (m.open + m.others + far) / weight(m);
     }
 
     private boolean coldFull(Machine m) {
@@ -987,8 +962,6 @@
             listAskAt = now + 5 * SECOND;
             out.add(new Action.WatchList(true));
         }
-        probes.forEach(id -> out.add(new Action.Probe(id)));
-        probes.clear();
         long wake = alarms.isEmpty() ? nextTick : Math.min(nextTick, alarms.peek().at);
         if (wake < armedFor) {
             armedFor = wake;
@@ -1010,7 +983,8 @@
         }
         if (rq.want != null && !rq.ended) {
             boolean settled = rq.want.started == 0 || now >= rq.want.started + READY;
-            rq.out = new Try(rq.tries++, rq.want, now, settled, rq.want.open, level(held(rq.want)));
+            int open = rq.want.open;
+            rq.out = new Try(rq.tries++, rq.want, now, settled, open, level(open + rq.want.others));
             out.add(new Action.Send(rq.is.id(), rq.want.id, rq.within));
         }
         rq.want = null;
