--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -6,10 +6,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import laurelkeel.api.Action;
 import laurelkeel.api.Action.Verdict;
+import laurelkeel.api.Event;
 import laurelkeel.api.Event.MachineState;
 import laurelkeel.api.Event.Outcome;
 import laurelkeel.api.Event.Phase;
@@ -64,6 +67,54 @@
         assertTrue(sent > 0 && sent <= 10, "120 reqs came, 4 in the span are a machine's usual: sent " + sent);
     }
 
+    @Test
+    void frontsBeginTheirTurnsAtDifferentMachines() {
+        Set<String> first = new HashSet<>();
+        for (int front = 0; front < 20; front++) {
+            Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), front);
+            play.begin(30);
+            first.add(play.outOf(play.req(0, "k")).machine());
+        }
+        assertTrue(first.size() > 8, "20 fronts met " + first);
+    }
+
+    @Test
+    void aSmallIdleMachineGetsItsTurnsToo() {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
+        play.begin(2);
+        play.lists(new Event.Listed("small", 1, 0, 0, 0, 0.5, MachineState.LIVE, 0));
+        play.traffic(5 * Play.SECOND, 100, 500, 0, 0, new Random(1));
+        assertTrue(play.all.stream().filter(s -> s.machine().equals("small")).count() >= 5, "of 50 reqs");
+    }
+
+    @Test
+    void aFrontThatShedsFindsOutWhenTheFleetIsWellAgain() {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
+        play.begin(2);
+        play.traffic(5 * Play.SECOND, 20, 1000, 0, 0, new Random(1));
+        play.traffic(6 * Play.SECOND, 20, 15_000, 0, 0, new Random(2));
+        play.traffic(10 * Play.SECOND, 20, 1000, 0, 0, new Random(3));
+        play.answers.clear();
+        play.traffic(5 * Play.SECOND, 20, 1000, 0, 0, new Random(4));
+        assertEquals(0, play.answers.size(), "sheds in calm");
+    }
+
+    @Test
+    void badReqsThatFailOnBothBuildsSendNoBuildBack() {
+        Play play = RulesTest.trial(5, 0.5, 0);
+        play.traffic(8 * Play.SECOND, 20, 1000, 0.3, 0.3, new Random(5));
+        play.tells(2, 2, 1, Phase.RELEASED);
+        play.lists(Play.machine("m0", 1, 0, MachineState.GONE, 0), Play.machine("m1", 1, 1, MachineState.GONE, 0));
+        for (int i = 0; i < 300; i++) {
+            play.now += 20 * Play.MS;
+            String id = play.req(0, "b" + i);
+            while (play.outOf(id) != null) {
+                play.ends(play.outOf(id), i % 2 == 0 ? Outcome.ERROR : Outcome.COMPLETED);
+            }
+        }
+        assertTrue(play.votes.stream().noneMatch(v -> v.verdict() == Verdict.BACK), play.votes.toString());
+    }
+
     @Test
     void aFullFleetIsNotAskedByEveryReqAtEveryMachine() {
         Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
