--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -32,6 +32,7 @@
     private static final long READY = 3 * SECOND;
     private static final double MARGIN = 0.02;
     private static final double SURE = 3.0;
+    private static final int SPAN = 5;
     private static final int LEAST = 20;
     private static final int LEAST_FAILS = 3;
     private static final double OWN_FAULT = 0.05;
@@ -144,9 +145,7 @@
     private static final class Times {
         final double[] usual = new double[LEVELS];
         final int[] seen = new int[LEVELS];
-        double spread = 0.5;
-        double calm;
-        double runSum, recent;
+        double spread = 0.5, calm, runSum, recent;
         int runCount, open;
         boolean ran;
 
@@ -778,7 +777,7 @@
             rq.failedIn.cured++;
         }
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        if (was.settled && counts && was.to.strikes < 2 && was.no == 0 && !rq.repeat) {
+        if (was.settled && counts && was.to.strikes < 2 && !rq.repeat) {
             // by when it was sent: errors come quickly, so a build whose share just rose has them first
             Cell c = cell(was.sentAt, was.to.build, rq.is.route());
             c.tries++;
@@ -792,32 +791,36 @@
         // after the release nothing serves beside it: then the earlier build's last seconds stand
         boolean beside = phase == Phase.TRIAL;
         int routes = set.routes().size();
-        Cell[] earlier = total(rev, -1);
-        var over = beside ? seconds.values().stream().map(s -> s.builds).toList()
-                : List.of(Map.of(cand, total(cand, -1), rev, earlier));
-        // where reqs fail on the earlier build too, only one that another try cured speaks of its build
+        Cell[] earlier = total(seconds.values(), rev, -1);
+        List<Map<Integer, Cell[]>> over = new ArrayList<>();
+        long back = beside ? SPAN : MEMORY;
+        for (long at = now / SECOND; at > (now - MEMORY) / SECOND; at -= back) {
+            var span = seconds.subMap(at - back, false, at, true).values();
+            over.add(Map.of(cand, total(span, cand, -1), rev, total(span, rev, -1)));
+        }
         // one front's finding alone must be surer than one that others must share
         int fails = set.rollout().backVotes() > 1 ? LEAST_FAILS - 1 : LEAST_FAILS;
+        // where reqs fail on the earlier build too, only one that another try cured speaks of its build
         boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
         for (int r = 0; r <= routes; r++) {
             int least = r < routes ? LEAST / 2 : LEAST;
-            if (leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails)) {
-                return "errors on route " + r;
-            }
-            if (leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS)) {
-                return "complaints on route " + r;
+            String lead = leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails) ? "errors"
+                    : leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS) ? "complaints" : null;
+            if (lead != null) {
+                return lead + " on route " + r;
             }
         }
         // after the release no seconds are shared, and other loads than then pass for a slow build
-        String slow = beside ? slower(cand, total(cand, rev)[routes], total(rev, cand)[routes]) : null;
+        String slow = beside ? slower(cand, total(seconds.values(), cand, rev)[routes],
+                total(seconds.values(), rev, cand)[routes]) : null;
         return slow == null ? slowsAll() : slow;
     }
 
     /** A build's outcomes by route, last all routes', over the seconds beside was seen in; below 0 all. */
-    private Cell[] total(int build, int beside) {
+    private Cell[] total(Collection<Second> span, int build, int beside) {
         Cell[] total = new Cell[set.routes().size() + 1];
         Arrays.setAll(total, r -> new Cell());
-        for (Second second : seconds.values()) {
+        for (Second second : span) {
             Cell[] cells = beside < 0 || second.builds.containsKey(beside) ? second.builds.get(build) : null;
             for (int r = 0; cells != null && r < cells.length; r++) {
                 Cell cell = cells[r] == null ? new Cell() : cells[r];
@@ -871,20 +874,17 @@
     }
 
     /**
-     * A lead in failures or complaints, each second and route by itself: summed, a share that changes with
+     * A lead in failures or complaints, each span and route by itself: summed, a share that changes with
      * time or route passes for a lead of the build that has its traffic then.
      */
     private boolean leads(Collection<Map<Integer, Cell[]>> over, int cand, int rev, int route,
             ToIntFunction<Cell> what, int least, int leastHits) {
         double lead = 0, weight = 0, tries = 0, hits = 0, all = 0, allHits = 0;
         for (Map<Integer, Cell[]> second : over) {
-            Cell[] x = second.get(cand);
-            Cell[] y = second.get(rev);
-            for (int r = 0; x != null && y != null && r < set.routes().size(); r++) {
-                boolean counts = (route == set.routes().size() || r == route) && x[r] != null && y[r] != null;
-                double n = counts ? x[r].tries : 0;
-                double m = counts ? y[r].tries : 0;
-                if (n > 0 && m > 0) {
+            Cell[] x = second.get(cand), y = second.get(rev);
+            for (int r = 0; r < x.length - 1; r++) {
+                double n = x[r].tries, m = y[r].tries;
+                if ((route == x.length - 1 || r == route) && n > 0 && m > 0) {
                     double f = what.applyAsInt(x[r]);
                     double g = what.applyAsInt(y[r]);
                     double even = n * m / (n + m);
