--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -804,10 +804,9 @@
         boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
         for (int r = 0; r <= routes; r++) {
             int least = r < routes ? LEAST / 2 : LEAST;
-            String lead = leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails) ? "errors"
-                    : leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS) ? "complaints" : null;
-            if (lead != null) {
-                return lead + " on route " + r;
+            boolean errs = leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails);
+            if (errs || leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS)) {
+                return (errs ? "errors" : "complaints") + " on route " + r;
             }
         }
         // after the release no seconds are shared, and other loads than then pass for a slow build
