--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -742,9 +742,7 @@
         Times t = times.get(rq.is.route());
         int level = level(rq.want.open);
         double typical = t.seen[level] < 8 ? t.calm : t.usual[level];
-        // with no waits about, what has not answered while another whole try still fits is silent
-        double usual = wait < t.calm / 2 ? route.objective() - 2 * t.calm : typical * (1 + 6 * t.spread);
-        double patient = Math.max(usual, 0.35 * route.objective());
+        double patient = Math.max(typical * (1 + 6 * t.spread), 0.6 * route.objective());
         boolean waits = !again || patient + typical > route.objective() || retryTokens < 2;
         return waits ? left : Math.min(left, (long) patient);
     }
