--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -742,7 +742,7 @@
         Times t = times.get(rq.is.route());
         int level = level(rq.want.open);
         double typical = t.seen[level] < 8 ? t.calm : t.usual[level];
-        double patient = Math.max(typical * (1 + 6 * t.spread), 0.6 * route.objective());
+        double patient = Math.max(typical * (1 + 6 * t.spread), 0.35 * route.objective());
         boolean waits = !again || patient + typical > route.objective() || retryTokens < 2;
         return waits ? left : Math.min(left, (long) patient);
     }
