--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -847,7 +847,8 @@
         }
         // under more reqs than before the trial slowness proves nothing; sends would hide them by sheds
         boolean usualLoad = before > 0 && load < MORE * usual * LASTING;
-        boolean lasts = usualLoad && seen >= LASTING * 2 / 3 && slow >= 0.85 * seen;
+        // of many fronts the quietest see a few seconds only, and the vote of one may decide
+        boolean lasts = usualLoad && seen >= LASTING * 2 / 3 * sure / SURE && slow >= 0.85 * seen;
         return lasts ? "slows all in " + slow + " of " + seen + " seconds, before " + before : null;
     }
 
