The rotation asks rows of figures; a build that flaps keeps its window's tries

Need: with 300 machines a req cost the decider most in walking the machines. Cause of the second part, found while exposure was traced: a build on trial ahead of its news that left the list and returned began a window anew, with the whole allowance.

Change: weight, strain and credit of the machines of a build stand in arrays kept as they change; the walk over the machines themselves is made only after something befell one of them. Tries of the window are forgotten when another build comes on trial, not when the same one returns.

The new test of a flapping build breaks exposure 7 times and more without the change.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -97,7 +97,8 @@
         double pace = 1, usualOpen = 1, luck;
         final double far;
         boolean weighed;
-        double weight, strain;
+        Side side = new Side(List.of());
+        int at;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
 
         Machine(Listed is, double far) {
@@ -110,11 +111,27 @@
         }
     }
 
-    /** The live machines of one build, by id: kept apart, since every req asks for them. */
+    /**
+     * The live machines of one build, by id, until the next list. What the rotation asks of each at every req stands
+     * in rows of its own, kept as it changes: a walk over the machines themselves cost most of a req.
+     */
     private static final class Side {
-        final List<Machine> live = new ArrayList<>();
-        boolean warm;
+        final List<Machine> live;
+        final double[] weight, strain, credit;
+        final int[] all, fit, struck;
+        boolean warm, plain;
         double size;
+
+        Side(List<Machine> live) {
+            this.live = live;
+            int n = live.size();
+            weight = new double[n];
+            strain = new double[n];
+            credit = live.stream().mapToDouble(m -> m.credit).toArray();
+            all = java.util.stream.IntStream.range(0, n).toArray();
+            fit = new int[n];
+            struck = new int[n];
+        }
     }
 
     /** What one build did on one route in one second. */
@@ -173,7 +190,6 @@
     private final Map<String, Rq> reqs = new HashMap<>();
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Map<Integer, Side> sides = new LinkedHashMap<>();
-    private final List<Machine> fit = new ArrayList<>(), struck = new ArrayList<>();
     private int newestLive = Integer.MIN_VALUE;
     private double liveSize;
     private final LinkedHashSet<Rq> touched = new LinkedHashSet<>();
@@ -193,7 +209,7 @@
     private int stage;
     private double cap;
     private long stageSince;
-    private int trial = -1, base = -1, rival = -1;
+    private int trial = -1, base = -1, rival = -1, exposedOf = -1;
     private double baseAtStart, threshold;
     private final Map<String, Integer> pins = new HashMap<>();
     private final TreeSet<Integer> released = new TreeSet<>(Set.of(-1));
@@ -312,15 +328,27 @@
             }
             m.size = Math.max(i.size(), 1e-3);
             m.live = i.state() == MachineState.LIVE;
-            m.weighed = false;
         }
         if (l.kind() != ListKind.CHANGES) {
             machines.values().forEach(m -> m.live &= named.contains(m.id));
         }
         machines.values().removeIf(m -> !m.live && m.open == 0 && !named.contains(m.id));
+        for (Side old : sides.values()) {
+            old.live.forEach(m -> m.credit = old.credit[m.at]);
+        }
         sides.clear();
+        Map<Integer, List<Machine>> builds = new LinkedHashMap<>();
         machines.values().stream().filter(m -> m.live)
-                .forEach(m -> sides.computeIfAbsent(m.build, k -> new Side()).live.add(m));
+                .forEach(m -> builds.computeIfAbsent(m.build, k -> new ArrayList<>()).add(m));
+        builds.forEach((build, live) -> {
+            Side side = new Side(live);
+            sides.put(build, side);
+            for (int i = 0; i < live.size(); i++) {
+                live.get(i).side = side;
+                live.get(i).at = i;
+                live.get(i).weighed = false;
+            }
+        });
         newestLive = sides.keySet().stream().mapToInt(b -> b).max().orElse(Integer.MIN_VALUE);
         liveSize = machines.values().stream().filter(m -> m.live).mapToDouble(m -> m.size).sum();
     }
@@ -397,6 +425,10 @@
             trial = onTrial;
             threshold = 0;
             baseAtStart = 0;
+        }
+        // a build that leaves the list before its news, and returns, has its tries of this window still
+        if (trial >= 0 && trial != exposedOf) {
+            exposedOf = trial;
             exposed.forEach(ArrayDeque::clear);
         }
         base = earlier;
@@ -495,7 +527,7 @@
         }
         Try was = rq.out;
         rq.out = null;
-        was.to.open--;
+        opened(was.to, -1);
         Times usual = times.get(rq.is.route());
         usual.open--;
         // answers only: silence at some machines says nothing of the others
@@ -509,6 +541,7 @@
         Double inHand = t.load().get("concurrent");
         if (inHand != null) {
             was.to.others = Math.max(0, inHand - was.to.open - 1);
+            opened(was.to, 0);
         }
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
@@ -542,9 +575,13 @@
                     m.strikes++;
                     m.outUntil = m.strikes < 2 ? 0
                             : now + Math.min(4 * SECOND, SECOND / 2 << Math.min(4, m.strikes - 2));
+                    m.side.plain = false;
                 }
             }
-            case FULL -> m.fullUntil = now + SECOND / 5;
+            case FULL -> {
+                m.fullUntil = now + SECOND / 5;
+                m.side.plain = false;
+            }
             default -> { }
         }
     }
@@ -565,7 +602,7 @@
             double usual = Math.max(1, t.usual[known]) * Math.pow(2, (was.level - known) / 3.0);
             double ratio = Math.min(4, took / usual);
             m.pace += (ratio - m.pace) * 0.06;
-            m.weighed = false;
+            weigh(m);
             // warm by the settings' own word: a machine still warming up is slow for no fault of its build
             if (m.started == 0 || was.sentAt >= m.started + set.limits().coldFor()) {
                 m.paced++;
@@ -704,47 +741,73 @@
     }
 
     private Machine pick(int build, Rq rq) {
-        fit.clear();
-        struck.clear();
         Side side = sides.get(build);
+        if (side == null) {
+            return null;
+        }
+        int[] from = side.all;
+        int n = from.length;
         boolean bound = rq.firstMayHaveRun != null, again = !rq.met.isEmpty();
-        for (Machine m : side == null ? List.<Machine>of() : side.live) {
-            if (m.started != 0 && coldFull(m) || bound && !sameGroup(rq, m)) {
-                continue;
+        if (bound || again || !side.plain) {
+            int fits = 0, strucks = 0;
+            // until something befalls one of them, none is cold, sick or full
+            side.plain = true;
+            for (int i = 0; i < side.all.length; i++) {
+                Machine m = side.live.get(i);
+                if (!m.weighed) {
+                    weigh(m);
+                }
+                side.plain &= m.weighed && m.strikes < 2 && now >= m.fullUntil
+                        && (m.started == 0 || now - m.started >= set.limits().coldFor() + SECOND);
+                if (m.started != 0 && coldFull(m) || bound && !sameGroup(rq, m)) {
+                    continue;
+                }
+                boolean sick = m.strikes >= 2 && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
+                if (sick || again && rq.met.contains(m)) {
+                    side.struck[strucks++] = i;
+                } else {
+                    side.fit[fits++] = i;
+                }
             }
-            boolean sick = m.strikes >= 2 && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
-            (sick || again && rq.met.contains(m) ? struck : fit).add(m);
+            // suspicion alone never empties the rotation
+            from = fits == 0 ? side.struck : side.fit;
+            n = fits == 0 ? strucks : fits;
         }
-        // suspicion alone never empties the rotation
-        List<Machine> from = fit.isEmpty() ? struck : fit;
         double least = Double.MAX_VALUE;
         double sum = 0;
-        for (Machine m : from) {
-            double weight = weight(m);
-            m.strain = (m.open + m.others + m.far) / weight;
-            least = Math.min(least, m.strain);
-            sum += weight;
-        }
-        Machine best = null;
-        for (Machine m : from) {
-            m.credit += m.weight;
-            if (m.strain <= least * PILE && (best == null || m.credit > best.credit)) {
-                best = m;
+        for (int k = 0; k < n; k++) {
+            least = Math.min(least, side.strain[from[k]]);
+            sum += side.weight[from[k]];
+        }
+        int best = -1;
+        for (int k = 0; k < n; k++) {
+            int i = from[k];
+            side.credit[i] += side.weight[i];
+            if (side.strain[i] <= least * PILE && (best < 0 || side.credit[i] > side.credit[best])) {
+                best = i;
             }
         }
-        if (best != null) {
-            best.credit -= sum;
+        if (best < 0) {
+            return null;
+        }
+        side.credit[best] -= sum;
+        return side.live.get(best);
+    }
+
+    /** A warm machine's weight changes with its pace only; that of a cold one with every moment. */
+    private void weigh(Machine m) {
+        m.weighed = warm(m);
+        if (m.at < m.side.weight.length) {
+            m.side.weight[m.at] = m.size * warmth(m) / Math.max(0.4, Math.min(3, m.pace));
         }
-        return best;
+        opened(m, 0);
     }
 
-    private double weight(Machine m) {
-        if (!m.weighed) {
-            // a warm one's changes with its pace only
-            m.weight = m.size * warmth(m) / Math.max(0.4, Math.min(3, m.pace));
-            m.weighed = warm(m);
+    private void opened(Machine m, int more) {
+        m.open += more;
+        if (m.at < m.side.strain.length) {
+            m.side.strain[m.at] = (m.open + m.others + m.far) / m.side.weight[m.at];
         }
-        return m.weight;
     }
 
     private boolean coldFull(Machine m) {
@@ -773,7 +836,7 @@
 
     private void send(Rq rq) {
         Machine m = rq.want;
-        m.open++;
+        opened(m, 1);
         times.get(rq.is.route()).open++;
         m.sends.addLast(now);
         second(now).sends++;
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -36,6 +36,29 @@
         assertEquals(List.of(), play.broken);
     }
 
+    @Test
+    void aBuildThatLeavesTheListAndReturnsHasNoNewAllowance() {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
+        play.begin(4);
+        for (int flaps = 0; flaps < 6; flaps++) {
+            play.lists(Play.machine("t0", 2, 0, MachineState.LIVE, 1));
+            play.pass(Play.SECOND / 5);
+            // the last key's slice asks for more than the cap allows
+            String key = "k" + flaps;
+            for (int i = 0; i < 100; i++) {
+                Play.Sent sent = play.outOf(play.req(0, key));
+                boolean there = sent != null && sent.build() == 2;
+                key = there ? key : "k" + flaps + "-" + i;
+                if (sent != null) {
+                    play.ends(sent, Outcome.COMPLETED);
+                }
+            }
+            play.lists(Play.machine("t0", 2, 0, MachineState.GONE, 0));
+        }
+        assertTrue(play.all.stream().anyMatch(s -> s.build() == 2), "ahead of its news it has its share");
+        assertEquals(List.of(), play.broken);
+    }
+
     @Test
     void aColdMachineIsNotFloodedWhenAllElseDies() {
         Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
