I/O threads read names and encode what crosses; the loop only adds its own lines

Change: Asked and Came are made by the thread that has the connection, with the message's lines that cross already encoded; the loop adds its own lines and hands bytes to the socket. Outcome and load of an answer are read there too.

--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -33,12 +32,13 @@
 import laurelkeel.front.news.Notes;
 import laurelkeel.front.news.ReleaseLine;
 import laurelkeel.front.news.ReleaseSource;
+import laurelkeel.front.upstream.Came;
 import laurelkeel.front.upstream.Exchange;
 import laurelkeel.front.upstream.Pools;
 import laurelkeel.loop.Loop;
-import laurelkeel.wire.Headers;
 import laurelkeel.wire.HttpAnswer;
 import laurelkeel.wire.HttpReq;
+import laurelkeel.wire.Lines;
 import laurelkeel.wire.Names;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,10 +51,6 @@
 public final class Front {
     private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     private static final Logger DECIDER = LoggerFactory.getLogger("laurelkeel.decisions");
-    /** What only a front says: a peer that says it is not believed, and what it says ends here. */
-    private static final Collection<String> OWN_UPSTREAM = HopByHop.names(Names.REMAINING, Names.TRY, Names.FRONT);
-    private static final Collection<String> OWN_ANSWERS = HopByHop.names(Names.LOAD, Names.ANSWER, Names.RETRY,
-            Names.RETRY_AFTER_MS, Names.TAKEN, Names.REF, Names.RAN);
     private static final int REFS = 50_000;
     /** The front's clock begins here, so that what began before the front did still has a moment above 0. */
     private static final long ORIGIN = 36_000_000;
@@ -74,6 +70,8 @@
     private final Notes notes;
     private final String life = Long.toString(System.currentTimeMillis(), 36);
     private final boolean guarded;
+    private final String fullName;
+    private final Lines lines = new Lines();
 
     private List<Event> events = new ArrayList<>();
     private final Map<String, Held> held = new HashMap<>();
@@ -101,6 +99,7 @@
     Front(FrontSettings set, Decider.Maker maker, LongSupplier clock, boolean guarded) throws IOException {
         this.set = set;
         this.guarded = guarded;
+        fullName = set.decisions().self() + "/" + life;
         loop = new Loop(clock);
         counts = new Counts(set.routes().entries().stream().map(RouteTable.Entry::name).toList());
         decider = maker.make(set.decisions(), set.seed());
@@ -229,7 +228,7 @@
             }
             if (!h.answered) {
                 h.answered = true;
-                ingress.answer(h.conn, h.asked.http(), Ingress.errored(false, "this front ended; the req may have run"));
+                ingress.answer(h.conn, h.asked.last(), Ingress.errored(false, "this front ended; the req may have run"));
             }
         }
     }
@@ -337,10 +336,11 @@
     private void probe(String machine) {
         long at = loop.now();
         boolean[] over = new boolean[1];
-        HttpReq ask = new HttpReq("GET", set.upstream().probePath(), 1, Headers.of("Host", machine), new byte[0]);
-        Exchange e = pools.start(machine, ask, (outcome, answer) -> {
+        byte[] ask = lines.text("GET ").text(set.upstream().probePath()).text(" HTTP/1.1\r\n").line("Host", machine)
+                .text("\r\n").take();
+        Exchange e = pools.start(machine, ask, false, (outcome, came) -> {
             over[0] = true;
-            events.add(new Event.Probed(machine, outcome, loop.now() - at, load(answer)));
+            events.add(new Event.Probed(machine, outcome, loop.now() - at, load(came)));
         });
         loop.at(at + set.upstream().probeTimeout(), () -> {
             if (!over[0]) {
@@ -366,10 +366,10 @@
             return;
         }
         counts.tried(h.asked.route());
-        sent.exchange = pools.start(s.machine(), upstream(h, sent), new Exchange.Heard() {
+        sent.exchange = pools.start(s.machine(), upstream(h, sent), h.asked.toHead(), new Exchange.Heard() {
             @Override
-            public void ended(Outcome outcome, HttpAnswer answer) {
-                Front.this.ended(h, sent, outcome, answer);
+            public void ended(Outcome outcome, Came came) {
+                Front.this.ended(h, sent, outcome, came);
             }
 
             @Override
@@ -381,41 +381,22 @@
         sent.limit = loop.at(limit, () -> ended(h, sent, sent.exchange.end(Outcome.TIMEOUT), null));
     }
 
-    private HttpReq upstream(Held h, Held.Sent sent) {
-        HttpReq from = h.asked.http();
-        Headers to = new Headers();
-        to.add("Host", sent.machine);
-        HopByHop.copy(from.headers(), to, OWN_UPSTREAM);
-        to.add(Names.REMAINING, Long.toString(Math.max(0, (h.leaves - loop.now()) / 10)));
-        to.add(Names.TRY, Integer.toString(sent.no));
-        to.add(Names.FRONT, set.decisions().self() + "/" + life);
-        return new HttpReq(from.method(), from.target(), 1, to, from.body());
-    }
-
-    private static Map<String, Double> load(HttpAnswer answer) {
-        String s = answer == null ? null : answer.headers().get(Names.LOAD);
-        if (s == null) {
-            return Map.of();
-        }
-        Map<String, Double> out = new HashMap<>();
-        for (String pair : s.split(",")) {
-            int eq = pair.indexOf('=');
-            try {
-                if (eq > 0) {
-                    out.put(pair.substring(0, eq).strip(), Double.parseDouble(pair.substring(eq + 1).strip()));
-                }
-            } catch (NumberFormatException e) {
-                // one value that is no number: the rest still tell
-            }
-        }
-        return out;
+    private byte[] upstream(Held h, Held.Sent sent) {
+        lines.line("Host", sent.machine)
+                .line(Names.REMAINING, Long.toString(Math.max(0, (h.leaves - loop.now()) / 10)))
+                .line(Names.TRY, Integer.toString(sent.no)).line(Names.FRONT, fullName);
+        return h.asked.crossing().with(lines, true);
     }
 
     private Event.TryEnded over(Held h, Held.Sent s, Outcome outcome, Map<String, Double> load) {
         return new Event.TryEnded(h.id, s.no, s.machine, outcome, loop.now() - s.at, h.answered, load);
     }
 
-    private void ended(Held h, Held.Sent s, Outcome outcome, HttpAnswer answer) {
+    private static Map<String, Double> load(Came came) {
+        return came == null ? Map.of() : came.load();
+    }
+
+    private void ended(Held h, Held.Sent s, Outcome outcome, Came came) {
         if (s.over) {
             return;
         }
@@ -425,34 +406,32 @@
         }
         counts.ended(outcome);
         if (outcome == Outcome.COMPLETED && !h.answered) {
-            answer(h, End.COMPLETED, passedOn(h, s, answer));
+            refs.put(h.id, new Event.Complaint(s.machine, s.at, h.asked.route()));
+            close(h, End.COMPLETED);
+            ingress.pass(h.conn, h.asked.last(), came.crossing(),
+                    lines.line(Names.ANSWER, "completed").line(Names.REF, h.id));
         }
-        events.add(over(h, s, outcome, load(answer)));
+        events.add(over(h, s, outcome, load(came)));
         forget(h);
     }
 
-    /** The machine's answer as the client gets it. */
-    private HttpAnswer passedOn(Held h, Held.Sent s, HttpAnswer from) {
-        Headers to = new Headers();
-        HopByHop.copy(from.headers(), to, OWN_ANSWERS);
-        refs.put(h.id, new Event.Complaint(s.machine, s.at, h.asked.route()));
-        to.add(Names.ANSWER, "completed").add(Names.REF, h.id);
-        return new HttpAnswer(from.status(), 1, to, from.body(), false);
-    }
-
     // ---- final answers
 
     private void answer(Held h, End how, HttpAnswer with) {
         if (h == null || guarded && h.answered) {
             return;
         }
+        close(h, how);
+        ingress.answer(h.conn, h.asked.last(), with);
+        forget(h);
+    }
+
+    private void close(Held h, End how) {
         h.answered = true;
         if (h.lastCall != null) {
             h.lastCall.cancel();
         }
         counts.answered(how, loop.now() - h.takenAt);
-        ingress.answer(h.conn, h.asked.http(), with);
-        forget(h);
     }
 
     private void forget(Held h) {
@@ -482,7 +461,7 @@
                 // it waited its time away on its connection: nothing was begun
                 h.answered = true;
                 counts.answered(End.SHED, 0);
-                ingress.answer(from, asked.http(), Ingress.shed(0, "its time was up before its turn came"));
+                ingress.answer(from, asked.last(), Ingress.shed(0, "its time was up before its turn came"));
                 return;
             }
             held.put(id, h);
@@ -502,18 +481,14 @@
                 counts.add("laurelkeel_complaints_total", "known", "yes");
             }
             from.current(null);
-            ingress.answer(from, http, c == null ? Ingress.plain(404, "no answer of this front has that "
+            ingress.answer(from, http.last(), c == null ? Ingress.plain(404, "no answer of this front has that "
                     + Names.REF + ", or it was too long ago or told before") : Ingress.plain(202, "noted"));
         }
 
         @Override
         public void left(Object current) {
             if (current instanceof Held h && !h.answered) {
-                h.answered = true;
-                if (h.lastCall != null) {
-                    h.lastCall.cancel();
-                }
-                counts.answered(End.LEFT, loop.now() - h.takenAt);
+                close(h, End.LEFT);
                 events.add(new Event.ClientLeft(h.id));
                 forget(h);
             }
--- a/src/main/java/laurelkeel/front/Held.java
+++ b/src/main/java/laurelkeel/front/Held.java
@@ -43,6 +43,11 @@
     }
 
     boolean done() {
-        return answered && sent.stream().allMatch(s -> s.over);
+        for (Sent s : sent) {
+            if (!s.over) {
+                return false;
+            }
+        }
+        return answered;
     }
 }
--- a/src/main/java/laurelkeel/front/ingress/Asked.java
+++ b/src/main/java/laurelkeel/front/ingress/Asked.java
@@ -1,16 +1,28 @@
 package laurelkeel.front.ingress;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.Set;
 import laurelkeel.wire.BadHttp;
+import laurelkeel.wire.Crossing;
+import laurelkeel.wire.HopByHop;
 import laurelkeel.wire.HttpReq;
 import laurelkeel.wire.Names;
 
 /**
- * One req as its headers name it. key is null where there is none; remaining, in tenths of a millisecond, is at most
- * the route's timeout; cost is 0 where the client did not say.
+ * One req as its headers name it, read by the thread that has its connection.
+ *
+ * @param crossing what of it goes on to a machine
+ * @param toHead its answer has no body on the wire
+ * @param last its client wants the connection to end with the answer
+ * @param key null where there is none
+ * @param remaining tenths of a millisecond, at most the route's timeout
+ * @param cost 0 where the client did not say
  */
-public record Asked(HttpReq http, int route, int customer, String key, long remaining, double cost, boolean repeat) {
+public record Asked(Crossing crossing, boolean toHead, boolean last, int route, int customer, String key,
+        long remaining, double cost, boolean repeat) {
+    /** What only a front says: a peer that says it is not believed, and what it says ends here. */
+    private static final Collection<String> OWN = HopByHop.names(Names.REMAINING, Names.TRY, Names.FRONT);
     private static final int LONGEST_KEY = 256;
     private static final Set<String> YES = Set.of("1", "true");
 
@@ -38,7 +50,7 @@
         // deadlines round down: the client must never be answered later than it waits
         long remaining = Math.min(timeouts.applyAsLong(route), (long) Math.floor(left * 10));
         String again = http.headers().get(Names.REPEAT);
-        return new Asked(http, route, customer, key, remaining, number(http, Names.COST, 0),
+        return new Asked(Crossing.of(http, OWN), http.method().equals("HEAD"), http.last(), route, customer, key, remaining, number(http, Names.COST, 0),
                 again != null && YES.contains(again));
     }
 
--- a/src/main/java/laurelkeel/front/ingress/ClientConn.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConn.java
@@ -33,7 +33,11 @@
 
     WriteFuture write(HttpAnswer answer, boolean last) {
         HttpAnswer a = toHead ? new HttpAnswer(answer.status(), 1, answer.headers(), answer.body(), true) : answer;
-        WriteFuture written = session.write(a);
+        return write((Object) a, last);
+    }
+
+    WriteFuture write(Object message, boolean last) {
+        WriteFuture written = session.write(message);
         if (last) {
             lastSaid = true;
             waiting.clear();
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -6,13 +6,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntToLongFunction;
+import java.util.function.Supplier;
 import laurelkeel.loop.Loop;
 import laurelkeel.wire.BadHttp;
+import laurelkeel.wire.Crossing;
 import laurelkeel.wire.Headers;
 import laurelkeel.wire.HttpAnswer;
 import laurelkeel.wire.HttpCodec;
 import laurelkeel.wire.HttpReq;
+import laurelkeel.wire.Lines;
 import laurelkeel.wire.Names;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.AttributeKey;
@@ -102,7 +106,10 @@
             ClientConn conn = (ClientConn) session.getAttribute(CONN);
             long arrived = loop.clock();
             if (message instanceof HttpReq || message instanceof BadHttp) {
-                loop.post(() -> received(conn, message, arrived));
+                // all that the names say is read here, so that the one thread that decides need not
+                Object read = message instanceof HttpReq http ? understood(http)
+                        : refusal((BadHttp) message, null);
+                loop.post(() -> received(conn, read, arrived));
             }
         }
 
@@ -141,6 +148,29 @@
         }
     }
 
+    /** An answer at the door, to what no route takes. */
+    private record Refusal(HttpAnswer answer, boolean toHead, boolean last) { }
+
+    /** An Asked, a Refusal, or the HttpReq itself where it is for the front. */
+    private Object understood(HttpReq http) {
+        if (http.path().equals(COMPLAINTS) && http.method().equals("POST")) {
+            return http;
+        }
+        try {
+            return Asked.read(http, table, timeouts);
+        } catch (BadHttp e) {
+            return refusal(e, http);
+        }
+    }
+
+    private Refusal refusal(BadHttp bad, HttpReq http) {
+        HttpAnswer a = plain(bad.status(), bad.getMessage());
+        if (bad.status() == 405 && http != null) {
+            a.headers().add("Allow", table.allowed(http.path()));
+        }
+        return new Refusal(a, http != null && http.method().equals("HEAD"), http == null || http.last());
+    }
+
     // ---- on the front's thread
 
     private void received(ClientConn conn, Object message, long arrived) {
@@ -166,50 +196,54 @@
 
     private void begin(ClientConn conn, Object message, long arrived) {
         conn.toHead = false;
-        if (message instanceof BadHttp bad) {
-            conn.write(plain(bad.status(), bad.getMessage()), true);
-            return;
-        }
-        HttpReq http = (HttpReq) message;
-        conn.toHead = http.method().equals("HEAD");
-        if (http.path().equals(COMPLAINTS) && http.method().equals("POST")) {
+        if (message instanceof Refusal r) {
+            conn.toHead = r.toHead;
+            conn.write(r.answer, r.last);
+        } else if (message instanceof HttpReq complaint) {
             conn.busy = true;
-            door.complaint(conn, http);
-            return;
-        }
-        try {
-            Asked asked = Asked.read(http, table, timeouts);
+            door.complaint(conn, complaint);
+        } else {
+            Asked asked = (Asked) message;
+            conn.toHead = asked.toHead();
             // the time a pipelined req waited for its turn is time its client has waited
             boolean full = door.held() >= set.openReqs() || loop.backlog() >= set.backlog();
             if (door.draining() || full) {
                 refused.incrementAndGet();
-                boolean last = door.draining() || http.last();
+                boolean last = door.draining() || asked.last();
                 conn.write(shedAtDoor(full ? "this front is full" : "this front is stopping", last), last);
                 return;
             }
             conn.busy = true;
             door.taken(conn, asked, arrived);
-        } catch (BadHttp e) {
-            HttpAnswer a = plain(e.status(), e.getMessage());
-            if (e.status() == 405) {
-                a.headers().add("Allow", table.allowed(http.path()));
-            }
-            conn.write(a, http.last());
         }
     }
 
     /** The final answer of the req in progress; its connection's next one begins once this is written. */
-    public void answer(ClientConn conn, HttpReq http, HttpAnswer answer) {
+    public void answer(ClientConn conn, boolean last, HttpAnswer answer) {
+        boolean ends = last || door.draining();
+        if (ends) {
+            answer.headers().add("Connection", "close");
+        }
+        answered(conn, () -> conn.write(answer, ends));
+    }
+
+    /** The same for a machine's answer that crosses, with this front's own lines. */
+    public void pass(ClientConn conn, boolean last, Crossing answer, Lines own) {
+        boolean ends = last || door.draining();
+        if (ends) {
+            own.line("Connection", "close");
+        }
+        byte[] bytes = answer.with(own, !conn.toHead);
+        answered(conn, () -> conn.write(IoBuffer.wrap(bytes), ends));
+    }
+
+    private void answered(ClientConn conn, Supplier<WriteFuture> write) {
         conn.current = null;
         if (conn.gone) {
             conn.busy = false;
             return;
         }
-        boolean last = http.last() || door.draining();
-        if (last) {
-            answer.headers().add("Connection", "close");
-        }
-        WriteFuture written = conn.write(answer, last);
+        WriteFuture written = write.get();
         if (conn.waiting.isEmpty()) {
             conn.busy = false;
         } else {
--- /dev/null
+++ b/src/main/java/laurelkeel/front/upstream/Came.java
@@ -0,0 +1,49 @@
+package laurelkeel.front.upstream;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import laurelkeel.api.Event.Outcome;
+import laurelkeel.wire.Crossing;
+import laurelkeel.wire.HopByHop;
+import laurelkeel.wire.HttpAnswer;
+import laurelkeel.wire.Names;
+
+/**
+ * A machine's whole answer, read by the thread that has its connection.
+ *
+ * @param crossing what of it goes on to the client
+ * @param load what the machine told of its load, by name; empty for nothing
+ * @param last the machine ends the connection with it
+ */
+public record Came(Outcome outcome, Crossing crossing, Map<String, Double> load, boolean last) {
+    /** What only a front says: a machine that says it is not believed. Its load is for the front alone. */
+    private static final Collection<String> OWN = HopByHop.names(Names.LOAD, Names.ANSWER, Names.RETRY,
+            Names.RETRY_AFTER_MS, Names.TAKEN, Names.REF, Names.RAN);
+
+    static Came of(HttpAnswer a) {
+        boolean refused = (a.status() == 503 || a.status() == 429) && "no".equals(a.headers().get(Names.RAN));
+        Outcome outcome = refused ? Outcome.FULL : a.status() < 500 ? Outcome.COMPLETED : Outcome.ERROR;
+        // only what completed goes on to a client
+        return new Came(outcome, outcome == Outcome.COMPLETED ? Crossing.of(a, OWN) : null,
+                load(a.headers().get(Names.LOAD)), a.last());
+    }
+
+    private static Map<String, Double> load(String told) {
+        if (told == null) {
+            return Map.of();
+        }
+        Map<String, Double> out = new HashMap<>();
+        for (String pair : told.split(",")) {
+            int eq = pair.indexOf('=');
+            try {
+                if (eq > 0) {
+                    out.put(pair.substring(0, eq).strip(), Double.parseDouble(pair.substring(eq + 1).strip()));
+                }
+            } catch (NumberFormatException e) {
+                // one value that is no number: the rest still tell
+            }
+        }
+        return out;
+    }
+}
--- a/src/main/java/laurelkeel/front/upstream/Exchange.java
+++ b/src/main/java/laurelkeel/front/upstream/Exchange.java
@@ -2,23 +2,22 @@
 
 import laurelkeel.api.Event.Outcome;
 import laurelkeel.loop.Loop;
-import laurelkeel.wire.HttpAnswer;
-import laurelkeel.wire.HttpReq;
 
 /** One upstream try on its way: waiting for a connection, written to one, or over. Front's thread only. */
 public final class Exchange {
 
     /** Told once, on the front's thread, but never from within start or end. */
     public interface Heard {
-        /** answer is null unless one came whole. */
-        void ended(Outcome outcome, HttpAnswer answer);
+        /** came is null unless an answer came whole. */
+        void ended(Outcome outcome, Came came);
 
         /** The answer's headers are here, its body is not. */
         default void begun() { }
     }
 
     final Pool pool;
-    final HttpReq http;
+    final byte[] message;
+    final boolean toHead;
     final Heard heard;
     Conn on;
     long writtenBefore;
@@ -26,9 +25,10 @@
     boolean over;
     Loop.Alarm dialLimit;
 
-    Exchange(Pool pool, HttpReq http, Heard heard) {
+    Exchange(Pool pool, byte[] message, boolean toHead, Heard heard) {
         this.pool = pool;
-        this.http = http;
+        this.message = message;
+        this.toHead = toHead;
         this.heard = heard;
     }
 
@@ -55,13 +55,13 @@
         return left ? asked : asked == Outcome.TIMEOUT ? Outcome.NO_CONNECTION : Outcome.NOT_SENT;
     }
 
-    void tell(Outcome outcome, HttpAnswer answer) {
+    void tell(Outcome outcome, Came came) {
         if (!over) {
             over = true;
             if (dialLimit != null) {
                 dialLimit.cancel();
             }
-            heard.ended(outcome, answer);
+            heard.ended(outcome, came);
         }
     }
 }
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -10,8 +10,7 @@
 import laurelkeel.wire.BadHttp;
 import laurelkeel.wire.HttpAnswer;
 import laurelkeel.wire.HttpCodec;
-import laurelkeel.wire.HttpReq;
-import laurelkeel.wire.Names;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.AttributeKey;
@@ -58,10 +57,10 @@
         return open;
     }
 
-    /** Writes a req to a machine, on an idle connection or a new one. */
-    public Exchange start(String machine, HttpReq http, Exchange.Heard heard) {
+    /** Writes a whole req to a machine, on an idle connection or a new one; toHead: its answer has no body. */
+    public Exchange start(String machine, byte[] message, boolean toHead, Exchange.Heard heard) {
         Pool pool = pools.computeIfAbsent(machine, m -> new Pool(m, resolved(m)));
-        Exchange e = new Exchange(pool, http, heard);
+        Exchange e = new Exchange(pool, message, toHead, heard);
         if (pool.address == null || pool.waiting.size() >= set.waiting() && pool.idle.isEmpty()) {
             loop.post(() -> e.tell(Outcome.NO_CONNECTION, null));
         } else {
@@ -104,10 +103,10 @@
         c.current = e;
         e.on = c;
         e.writtenBefore = c.session.getWrittenBytes();
-        if (e.http.method().equals("HEAD")) {
+        if (e.toHead) {
             HttpCodec.nextIsToHead(c.session);
         }
-        c.session.write(e.http);
+        c.session.write(IoBuffer.wrap(e.message));
     }
 
     private void dial(Pool pool) {
@@ -178,7 +177,7 @@
         dial(c.pool);
     }
 
-    private void answered(Conn c, HttpAnswer a) {
+    private void answered(Conn c, Came came) {
         Exchange e = c.current;
         if (e == null) {
             // an answer that nothing asked: the connection has lost step
@@ -187,13 +186,12 @@
         }
         c.current = null;
         e.on = null;
-        if (a.last()) {
+        if (came.last()) {
             c.session.closeNow();
         } else {
             free(c);
         }
-        boolean refused = (a.status() == 503 || a.status() == 429) && "no".equals(a.headers().get(Names.RAN));
-        e.tell(refused ? Outcome.FULL : a.status() < 500 ? Outcome.COMPLETED : Outcome.ERROR, a);
+        e.tell(came.outcome(), came);
     }
 
     private void unreadable(Conn c) {
@@ -231,12 +229,13 @@
     private final class Handler extends IoHandlerAdapter {
         @Override
         public void messageReceived(IoSession session, Object message) {
+            Object read = message instanceof HttpAnswer a ? Came.of(a) : message;
             loop.post(() -> {
                 Conn c = session.getAttribute(CONN) instanceof Conn known ? known : null;
                 if (c == null) {
                     session.closeNow();
-                } else if (message instanceof HttpAnswer a) {
-                    answered(c, a);
+                } else if (read instanceof Came came) {
+                    answered(c, came);
                 } else if (message instanceof HttpCodec.AnswerStart && c.current != null) {
                     c.current.heard.begun();
                 } else if (message instanceof BadHttp) {
--- /dev/null
+++ b/src/main/java/laurelkeel/wire/Crossing.java
@@ -0,0 +1,45 @@
+package laurelkeel.wire;
+
+import java.util.Collection;
+
+/**
+ * A message on its way from one connection to another. What may cross is encoded by the thread that read it; the
+ * one thread that decides only adds this hop's own lines.
+ *
+ * @param head the first line, the headers that cross and the body's length, without the empty line
+ */
+public record Crossing(byte[] head, byte[] body) {
+
+    /** @param leftOut names that end here beside those that end at every hop */
+    public static Crossing of(HttpReq r, Collection<String> leftOut) {
+        Lines to = new Lines().text(r.method()).text(" ").text(r.target()).text(" HTTP/1.1\r\n");
+        HopByHop.lines(r.headers(), to, leftOut);
+        return ended(to, r.body(), HttpWriter.tellsLength(r));
+    }
+
+    /** @param leftOut as above */
+    public static Crossing of(HttpAnswer a, Collection<String> leftOut) {
+        Lines to = new Lines().text(HttpWriter.statusLine(a.status()));
+        HopByHop.lines(a.headers(), to, leftOut);
+        return ended(to, a.body(), a.status() != 204);
+    }
+
+    private static Crossing ended(Lines to, byte[] body, boolean length) {
+        if (length) {
+            to.line("Content-Length", Integer.toString(body.length));
+        }
+        return new Crossing(to.take(), body);
+    }
+
+    /** The whole message: own lines, each with its end, stand after those that crossed. */
+    public byte[] with(Lines own, boolean withBody) {
+        byte[] mine = own.text("\r\n").take();
+        byte[] out = new byte[head.length + mine.length + (withBody ? body.length : 0)];
+        System.arraycopy(head, 0, out, 0, head.length);
+        System.arraycopy(mine, 0, out, head.length, mine.length);
+        if (withBody) {
+            System.arraycopy(body, 0, out, head.length + mine.length, body.length);
+        }
+        return out;
+    }
+}
--- a/src/main/java/laurelkeel/front/HopByHop.java
+++ b/src/main/java/laurelkeel/wire/HopByHop.java
@@ -1,12 +1,12 @@
-package laurelkeel.front;
+package laurelkeel.wire;
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Locale;
 import java.util.TreeSet;
-import laurelkeel.wire.Headers;
 
 /** Headers that end at each hop (RFC 9110, 7.6.1); a connection's own matters must not cross to another. */
-final class HopByHop {
+public final class HopByHop {
     private static final TreeSet<String> NAMES = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
 
     static {
@@ -16,21 +16,21 @@
 
     private HopByHop() { }
 
-    /** Copies what may cross from one connection to another, but for the names left out. */
-    static void copy(Headers from, Headers to, Collection<String> leftOut) {
+    /** Adds what may cross from one connection to another, but for the names left out. */
+    static void lines(Headers from, Lines to, Collection<String> leftOut) {
         boolean named = from.get("Connection") != null;
         for (int i = 0; i < from.size(); i++) {
             String name = from.name(i);
             boolean ends = NAMES.contains(name) || leftOut.contains(name)
-                    || named && from.has("Connection", name.toLowerCase(java.util.Locale.ROOT));
+                    || named && from.has("Connection", name.toLowerCase(Locale.ROOT));
             if (!ends) {
-                to.add(name, from.value(i));
+                to.line(name, from.value(i));
             }
         }
     }
 
     /** A set of names that compare without case. */
-    static Collection<String> names(String... names) {
+    public static Collection<String> names(String... names) {
         TreeSet<String> set = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
         set.addAll(List.of(names));
         return set;
--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -29,6 +29,8 @@
     private static final AttributeKey TO_HEAD = new AttributeKey(HttpCodec.class, "toHead");
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static final ProtocolEncoder WRITER = new Writer();
+
     private final HttpParser.Side side;
     private final HttpLimits limits;
 
@@ -60,7 +62,7 @@
 
     @Override
     public ProtocolEncoder getEncoder(IoSession session) {
-        return new Writer();
+        return WRITER;
     }
 
     /** Said by a client before it writes a HEAD request, on a connection with one request at a time. */
--- a/src/main/java/laurelkeel/wire/HttpWriter.java
+++ b/src/main/java/laurelkeel/wire/HttpWriter.java
@@ -24,14 +24,20 @@
     public static IoBuffer write(HttpReq r) {
         StringBuilder head = new StringBuilder(256);
         head.append(r.method()).append(' ').append(r.target()).append(" HTTP/1.1\r\n");
-        boolean told = r.body().length > 0 || !r.method().equals("GET") && !r.method().equals("HEAD");
-        return put(head, r.headers(), r.body(), told, true);
+        return put(head, r.headers(), r.body(), tellsLength(r), true);
+    }
+
+    static boolean tellsLength(HttpReq r) {
+        return r.body().length > 0 || !r.method().equals("GET") && !r.method().equals("HEAD");
+    }
+
+    static String statusLine(int status) {
+        return "HTTP/1.1 " + status + ' ' + REASONS.getOrDefault(status, "Status") + "\r\n";
     }
 
     public static IoBuffer write(HttpAnswer a) {
         StringBuilder head = new StringBuilder(256);
-        head.append("HTTP/1.1 ").append(a.status()).append(' ')
-                .append(REASONS.getOrDefault(a.status(), "Status")).append("\r\n");
+        head.append(statusLine(a.status()));
         return put(head, a.headers(), a.body(), a.status() != 204, !a.toHead());
     }
 
