--- a/src/main/java/laurelkeel/cli/BenchCommand.java
+++ b/src/main/java/laurelkeel/cli/BenchCommand.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import laurelkeel.bench.BlameBench;
 import laurelkeel.bench.DecisionBench;
 import laurelkeel.bench.FrontBench;
 import laurelkeel.bench.Relay;
@@ -21,7 +22,7 @@
 
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measures; docs/results/ keeps the tables.",
         subcommands = {BenchCommand.Decisions.class, BenchCommand.StreamSums.class,
-            BenchCommand.FrontBeside.class, BenchCommand.RelayAlone.class})
+            BenchCommand.FrontBeside.class, BenchCommand.RelayAlone.class, BenchCommand.BlameDays.class})
 final class BenchCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -91,6 +92,28 @@
         }
     }
 
+    @Command(name = "blame", mixinStandardHelpOptions = true,
+            description = "Made-up release days judged by the blame and by naive ways: a table and charts.")
+    static final class BlameDays implements Callable<Integer> {
+        @Option(names = "--days", defaultValue = "100", description = "of each kind of bad (default: ${DEFAULT-VALUE})")
+        private int days;
+
+        @Option(names = "--honest", defaultValue = "400", description = "with no bad build (default: ${DEFAULT-VALUE})")
+        private int honest;
+
+        @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
+        private long seed;
+
+        @Option(names = "--charts", paramLabel = "FOLDER", description = "where two charts go")
+        private Path charts;
+
+        @Override
+        public Integer call() throws Exception {
+            BlameBench.run(days, honest, seed, charts, System.out);
+            return 0;
+        }
+    }
+
     @Command(name = "relay", hidden = true, description = "The bare relay: LISTEN ADMIN PORT,PORT...")
     static final class RelayAlone implements Callable<Integer> {
         @Parameters(index = "0")
