Lanes: a decider a release over reqs cut by a hash that knows no build

Need: two or three builds on trial at once, each within its own cap, without rewriting the module.

Change: laurelkeel.lanes holds one decider a release. Each sees its release's machines and those of the build beside it; keys a trial build has answered stay in its lane; the cap it hears is raised by all reqs to its own over the same window, so that cap x all reqs is what it keeps to. A trial build that may have all and has grown to twice the one before serves beside later ones.

--- /dev/null
+++ b/src/main/java/laurelkeel/lanes/Lane.java
@@ -0,0 +1,34 @@
+package laurelkeel.lanes;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import laurelkeel.api.Decider;
+import laurelkeel.api.Event;
+
+/** One decider with the reqs, machines and news that are its own. */
+final class Lane {
+    final int id;
+    final Decider decider;
+    final Taken taken;
+    /** The release it is for; -1 where it has none. */
+    int build;
+    /** The build that its other reqs go to; -1 for whatever the decider finds in the list. */
+    int floor = -1;
+    /** The latest build that it has been told is released. */
+    int knows = -1;
+    boolean closing;
+    double toldCap = Double.NaN;
+    /** Ids of machines it has been shown. */
+    Set<String> shown = new HashSet<>();
+    final List<Event> events = new ArrayList<>();
+    int held;
+
+    Lane(int id, int build, Decider decider, Taken taken) {
+        this.id = id;
+        this.build = build;
+        this.decider = decider;
+        this.taken = taken;
+    }
+}
--- /dev/null
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -0,0 +1,543 @@
+package laurelkeel.lanes;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.zip.CRC32;
+import laurelkeel.api.Action;
+import laurelkeel.api.Action.Verdict;
+import laurelkeel.api.Decider;
+import laurelkeel.api.Event;
+import laurelkeel.api.Event.Answer;
+import laurelkeel.api.Event.ListKind;
+import laurelkeel.api.Event.Listed;
+import laurelkeel.api.Event.MachineState;
+import laurelkeel.api.Event.Outcome;
+import laurelkeel.api.Event.Phase;
+import laurelkeel.api.Event.ReleaseNews;
+import laurelkeel.api.Settings;
+
+/**
+ * Several releases on trial behind one front. Each has a decider of its own, made as a front's only one is made, and a
+ * lane of the reqs: cut by a hash of the key that knows no build, by chance where there is none, and never changed for
+ * a key that a release's build has answered while that release stands. A decider sees the machines of its release and
+ * those of the build that serves beside it, as if no other release were there; so each keeps its release within its
+ * cap, its window, its guarded stages and its one-way keys by itself. To machines the lanes are so many fronts.
+ *
+ * <p>With one release all events pass to the one decider and all its actions come back as they are.
+ */
+public final class Lanes implements Decider {
+    /** Releases on trial at once; a further one gets no reqs until one of them ends. */
+    public static final int MOST = 3;
+    private static final int MOST_KEYS = 600_000;
+    /** A build that may have all serves beside later releases once it is so many times the one before it. */
+    private static final double GROWN = 2;
+    /** How long, in tenths of a millisecond, others' blame keeps a vote to send back from being cast. */
+    private static final long DOUBT = 150_000;
+
+    /** What is held against one release from outside, as the release line pools it. */
+    public enum Blame { NONE, GUILTY, CLEARED, OPEN }
+
+    /** One req, until it is answered and its tries have ended. */
+    private static final class Held {
+        final Lane lane;
+        final String key;
+        boolean answered;
+        int out, build = -1;
+
+        Held(Lane lane, String key) {
+            this.lane = lane;
+            this.key = key;
+        }
+    }
+
+    private final Settings set;
+    private final Maker maker;
+    private final long seed;
+    private final byte[] salt;
+    private long draws;
+    private long now;
+
+    /** The first one leads: it follows the list for all. */
+    private final List<Lane> lanes = new ArrayList<>();
+    private final TreeMap<Integer, Release> releases = new TreeMap<>();
+    private final Map<Integer, Blame> blame = new HashMap<>();
+    private final Map<Integer, Long> doubtedSince = new HashMap<>();
+    private final Map<Integer, Long> votedBack = new HashMap<>();
+    private final Map<String, Listed> list = new LinkedHashMap<>();
+    private final Map<String, Held> held = new HashMap<>();
+    /** Keys that a build on trial has answered, and in which lane: they are never cut anew while that is open. */
+    private final Map<String, Integer> laneOfKey = new HashMap<>();
+    /** A build on trial that has taken over for a lane which is gone: nobody goes below it any more. */
+    private int least = -1;
+    private final Taken all;
+    private int nextLane, complaints;
+    private int released = -1;
+    private boolean recut;
+    private final List<Action> out = new ArrayList<>();
+
+    /** @param maker makes the decider of one lane; lane 0 gets the front's own seed */
+    public Lanes(Settings set, long seed, Maker maker) {
+        this.set = set;
+        this.maker = maker;
+        this.seed = seed;
+        this.salt = ("lanes/" + seed).getBytes(StandardCharsets.US_ASCII);
+        this.all = taken();
+        lanes.add(new Lane(nextLane, -1, maker.make(set, seed), taken()));
+        nextLane++;
+    }
+
+    private Taken taken() {
+        return new Taken(set.routes().size(), set.rollout().window(), set.rollout().perRoute());
+    }
+
+    /** How many lanes take reqs. */
+    public int open() {
+        return (int) lanes.stream().filter(l -> !l.closing).count();
+    }
+
+    /** What others hold against a release; it counts from the next decisions on. */
+    public void blame(int build, Blame b) {
+        blame.put(build, b);
+    }
+
+    @Override
+    public List<Action> decide(long moment, List<Event> events) {
+        now = moment;
+        out.clear();
+        for (Event e : events) {
+            learn(e);
+        }
+        if (recut) {
+            recut = false;
+            cut();
+        }
+        blamed();
+        for (int i = 0; i < lanes.size(); i++) {
+            Lane lane = lanes.get(i);
+            if (lane.events.isEmpty() && lanes.size() > 1) {
+                continue;
+            }
+            capFor(lane);
+            List<Event> own = List.copyOf(lane.events);
+            lane.events.clear();
+            for (Action a : lane.decider.decide(now, own)) {
+                act(lane, a);
+            }
+        }
+        lanes.removeIf(l -> l.closing && l.held == 0 && lanes.size() > 1);
+        return List.copyOf(out);
+    }
+
+    // ---- events
+
+    private void learn(Event e) {
+        if (e instanceof Event.Req r) {
+            take(r);
+        } else if (e instanceof Event.TryEnded t) {
+            ended(t);
+        } else if (e instanceof Event.AnswerBegun b) {
+            toHolder(b.req(), e);
+        } else if (e instanceof Event.ClientLeft c) {
+            toHolder(c.req(), e);
+            over(c.req());
+        } else if (e instanceof Event.TimerDue t) {
+            for (Lane l : lanes) {
+                if (l.id == t.handle()) {
+                    l.events.add(new Event.TimerDue(0));
+                }
+            }
+        } else if (e instanceof Event.MachineList l) {
+            listed(l);
+        } else if (e instanceof ReleaseNews n) {
+            news(n);
+        } else if (e instanceof Event.Complaint c) {
+            complained(c);
+        } else if (e instanceof Event.Probed p) {
+            lanes.stream().filter(l -> l.shown.contains(p.machine())).forEach(l -> l.events.add(e));
+        } else if (e instanceof Event.BuildCounts c) {
+            lanes.stream().filter(l -> l.build < 0 || l.build == c.build() || l.floor == c.build())
+                    .forEach(l -> l.events.add(e));
+        } else {
+            lanes.forEach(l -> l.events.add(e));
+        }
+    }
+
+    private void toHolder(String req, Event e) {
+        Held h = held.get(req);
+        (h == null ? lanes.get(0) : h.lane).events.add(e);
+    }
+
+    private void take(Event.Req r) {
+        Lane lane = laneOf(r.key());
+        held.put(r.id(), new Held(lane, r.key()));
+        lane.held++;
+        lane.taken.add(r.route(), now);
+        all.add(r.route(), now);
+        lane.events.add(r);
+    }
+
+    /** A key stays with the release that answered it; others are cut evenly, by a hash that knows no build. */
+    private Lane laneOf(String key) {
+        if (lanes.size() == 1) {
+            return lanes.get(0);
+        }
+        Integer by = key == null ? null : laneOfKey.get(key);
+        if (by != null) {
+            for (Lane l : lanes) {
+                if (!l.closing && l.id == by) {
+                    return l;
+                }
+            }
+        }
+        int n = open();
+        int at = (int) Math.min(n - 1, n * (key == null ? chance() : fraction(key)));
+        for (Lane l : lanes) {
+            if (!l.closing && at-- == 0) {
+                return l;
+            }
+        }
+        return lanes.get(0);
+    }
+
+    private double fraction(String key) {
+        CRC32 crc = new CRC32();
+        // a word of its own before the key: no release's slice of keys decides the lane
+        crc.update("lane of ".getBytes(StandardCharsets.US_ASCII));
+        crc.update(key.getBytes(StandardCharsets.US_ASCII));
+        return mixed(crc.getValue());
+    }
+
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update(salt);
+        crc.update(Long.toString(draws++).getBytes(StandardCharsets.US_ASCII));
+        return mixed(crc.getValue());
+    }
+
+    private static double mixed(long crc) {
+        // CRC32 is linear: unmixed, the lanes would cut through every slice in the same way
+        long h = (crc + 0x632BE59BD9B4E019L) * 0x9E3779B97F4A7C15L;
+        h = (h ^ h >>> 32) * 0xD6E8FEB86659FD93L;
+        return ((h ^ h >>> 29) >>> 11) * 0x1.0p-53;
+    }
+
+    private void ended(Event.TryEnded t) {
+        Held h = held.get(t.req());
+        toHolder(t.req(), t);
+        if (h == null) {
+            return;
+        }
+        h.out--;
+        h.answered |= t.outcome() == Outcome.COMPLETED || t.reqOver();
+        Release by = releases.get(h.build);
+        boolean ahead = h.build > released && (by == null || !by.sentBack());
+        if (t.outcome() == Outcome.COMPLETED && h.key != null && ahead && set.rollout().keysStay()
+                && laneOfKey.size() < MOST_KEYS) {
+            laneOfKey.put(h.key, h.lane.id);
+        }
+        forget(t.req(), h);
+    }
+
+    private void forget(String req, Held h) {
+        if (h.answered && h.out <= 0) {
+            held.remove(req);
+            h.lane.held--;
+        }
+    }
+
+    private void complained(Event.Complaint c) {
+        if (lanes.size() == 1) {
+            lanes.get(0).events.add(c);
+            return;
+        }
+        List<Lane> shown = lanes.stream().filter(l -> !l.closing && l.shown.contains(c.machine())).toList();
+        if (!shown.isEmpty()) {
+            // of a shared machine none can tell whose answer it was: each lane has its turn
+            shown.get(complaints++ % shown.size()).events.add(c);
+        }
+    }
+
+    // ---- the list, and what of it each lane sees
+
+    private void listed(Event.MachineList l) {
+        if (l.kind() == ListKind.FULL || l.kind() == ListKind.REMEMBERED) {
+            Set<String> named = new HashSet<>();
+            l.machines().forEach(m -> named.add(m.machine()));
+            list.keySet().retainAll(named);
+        }
+        for (Listed m : l.machines()) {
+            if (m.state() == MachineState.GONE) {
+                list.remove(m.machine());
+            } else {
+                list.put(m.machine(), m);
+            }
+        }
+        recut |= lanes.size() > 1;
+        for (Lane lane : lanes) {
+            if (lanes.size() == 1) {
+                lane.events.add(l);
+                l.machines().forEach(m -> lane.shown.add(m.machine()));
+                continue;
+            }
+            List<Listed> seen = l.machines().stream()
+                    .filter(m -> sees(lane, m) || lane.shown.contains(m.machine())).toList();
+            seen.forEach(m -> lane.shown.add(m.machine()));
+            lane.events.add(new Event.MachineList(l.kind(), seen));
+        }
+    }
+
+    private boolean sees(Lane lane, Listed m) {
+        return lane.floor < 0 || m.build() == lane.build || m.build() == lane.floor;
+    }
+
+    private double size(int build) {
+        return list.values().stream().filter(m -> m.build() == build && m.state() == MachineState.LIVE)
+                .mapToDouble(Listed::size).sum();
+    }
+
+    /** What serves beside a lane's release: the released build, or a trial that may have all and has grown past it. */
+    private int floorFor(int build) {
+        int floor = released;
+        if (floor < 0) {
+            // no news of a released build yet: the largest that no news puts on trial
+            double most = 0;
+            Map<Integer, Double> sizes = new TreeMap<>();
+            list.values().stream().filter(m -> m.state() == MachineState.LIVE)
+                    .forEach(m -> sizes.merge(m.build(), m.size(), Double::sum));
+            for (var e : sizes.entrySet()) {
+                if (!releases.containsKey(e.getKey()) && e.getValue() > most) {
+                    most = e.getValue();
+                    floor = e.getKey();
+                }
+            }
+        }
+        for (Release r : releases.values()) {
+            boolean whole = r.onTrial() && r.cap() >= 1 && r.stage() >= set.rollout().guardedStages();
+            if (whole && r.build() < build && r.build() > floor && size(r.build()) >= GROWN * size(floor)) {
+                floor = r.build();
+            }
+        }
+        // never below a build that has answered for a lane which is gone
+        return Math.max(floor, least);
+    }
+
+    // ---- news
+
+    private void news(ReleaseNews n) {
+        if (n.toVote() && n.answer() != Answer.OK) {
+            // a refusal says nothing but whose vote it was, where it says that
+            lanes.stream().filter(l -> lanes.size() == 1 || n.build() == 0 || l.build == n.build())
+                    .forEach(l -> l.events.add(n));
+            return;
+        }
+        Release now = Release.of(n);
+        Release before = releases.put(n.build(), now);
+        if (n.phase() == Phase.RELEASED && n.build() > released) {
+            released = n.build();
+            releases.keySet().removeIf(b -> b < released);
+            least = least <= released ? -1 : least;
+        }
+        if (!now.onTrial()) {
+            least = least == n.build() ? -1 : least;
+            blame.remove(n.build());
+            doubtedSince.remove(n.build());
+            votedBack.remove(n.build());
+        }
+        Lane lane = laneFor(n.build());
+        if (lane == null && now.onTrial()) {
+            lane = openLane(n);
+        }
+        for (Lane l : lanes) {
+            // a later build's release ends all that is below it
+            boolean ends = n.phase() == Phase.RELEASED && l.build < n.build();
+            if (l == lane || ends) {
+                l.toldCap = Double.NaN;
+                l.events.add(n);
+                l.knows = n.phase() == Phase.RELEASED ? Math.max(l.knows, n.build()) : l.knows;
+            }
+        }
+        if (lane != null) {
+            lane.build = n.build();
+        }
+        recut |= lanes.size() > 1 && !now.equals(before);
+        closeEnded();
+    }
+
+    /** A lane whose release has ended takes no more reqs; the last one stays, for all builds. */
+    private void closeEnded() {
+        if (lanes.size() == 1) {
+            return;
+        }
+        for (Lane l : lanes) {
+            Release own = releases.get(l.build);
+            boolean over = own == null || !own.onTrial();
+            if (over && !l.closing && open() > 1) {
+                l.closing = true;
+                recut = true;
+                Release floor = releases.get(l.floor);
+                if (l.floor != l.build && floor != null && floor.onTrial()) {
+                    least = Math.max(least, l.floor);
+                }
+            }
+        }
+    }
+
+    private Lane laneFor(int build) {
+        for (Lane l : lanes) {
+            if (l.build == build) {
+                return l;
+            }
+        }
+        Lane only = lanes.get(0);
+        Release has = releases.get(only.build);
+        boolean free = lanes.size() == 1 && (only.build < 0 || has == null || !has.onTrial() || build < only.build);
+        // a front's only decider, whose business all news is
+        return free ? only : null;
+    }
+
+    private Lane openLane(ReleaseNews n) {
+        if (n.build() <= released || open() >= MOST) {
+            return null;
+        }
+        Lane lane = new Lane(nextLane, n.build(), maker.make(set, seed * 31 + nextLane), taken());
+        nextLane++;
+        lanes.add(lane);
+        closeEnded();
+        lane.floor = floorFor(n.build());
+        if (lane.floor >= 0) {
+            lane.events.add(new ReleaseNews(Answer.OK, 0, 1, 0, Phase.RELEASED, lane.floor, false));
+            lane.knows = lane.floor;
+        }
+        show(lane);
+        recut = true;
+        return lane;
+    }
+
+    /** Shows a lane all that it may see, and nothing else. */
+    private void show(Lane lane) {
+        List<Listed> seen = list.values().stream().filter(m -> sees(lane, m)).toList();
+        lane.shown.clear();
+        seen.forEach(m -> lane.shown.add(m.machine()));
+        // remembered: no news of the list itself, only of what of it is the lane's
+        lane.events.add(new Event.MachineList(ListKind.REMEMBERED, seen));
+    }
+
+    /** After a change of releases or machines: what serves beside each, and what each sees. */
+    private void cut() {
+        boolean alone = open() == 1;
+        for (Lane lane : lanes) {
+            // a decider passes over news of builds before its own: what was released since stays its floor
+            boolean whole = alone && !lane.closing && lane.knows >= released;
+            int floor = whole ? -1 : floorFor(lane.build);
+            if (floor != lane.floor) {
+                lane.floor = floor;
+                show(lane);
+            }
+        }
+    }
+
+    /** The cap as the lane's decider must hear it, so that cap x all reqs is what it keeps to. */
+    private void capFor(Lane lane) {
+        Release r = releases.get(lane.build);
+        if (r == null || !r.onTrial()) {
+            return;
+        }
+        int n = open();
+        double cap = n == 1 && lanes.size() == 1 ? r.cap()
+                : Math.min(1, r.cap() * Taken.times(all, lane.taken, now, n));
+        boolean told = !Double.isNaN(lane.toldCap);
+        if (told ? cap != lane.toldCap : cap != r.cap()) {
+            lane.events.add(new ReleaseNews(Answer.OK, r.stage(), cap, 0, r.phase(), r.build(), false));
+        }
+        lane.toldCap = cap;
+    }
+
+    // ---- actions
+
+    private void act(Lane lane, Action a) {
+        if (a instanceof Action.Send s) {
+            Held h = held.get(s.req());
+            if (h != null) {
+                Listed to = list.get(s.machine());
+                h.out++;
+                h.build = to == null ? -1 : to.build();
+            }
+            out.add(a);
+        } else if (a instanceof Action.Shed s) {
+            over(s.req());
+            out.add(a);
+        } else if (a instanceof Action.Err s) {
+            over(s.req());
+            out.add(a);
+        } else if (a instanceof Action.Timer t) {
+            out.add(new Action.Timer(t.when(), lane.id));
+        } else if (a instanceof Action.Vote v) {
+            vote(lane, v);
+        } else if (a instanceof Action.WatchList || a instanceof Action.FetchList) {
+            if (lane == lanes.get(0)) {
+                out.add(a);
+            }
+        } else if (a instanceof Action.Log l) {
+            out.add(lanes.size() == 1 ? l : new Action.Log("lane " + lane.id + ": " + l.text()));
+        } else {
+            out.add(a);
+        }
+    }
+
+    private void over(String req) {
+        Held h = held.get(req);
+        if (h != null) {
+            h.answered = true;
+            forget(req, h);
+        }
+    }
+
+    /** A lane's decider compares its release with the build beside it; among several the blame has a word too. */
+    private void vote(Lane lane, Action.Vote v) {
+        if (open() == 1) {
+            out.add(v);
+            return;
+        }
+        Blame own = blame.getOrDefault(v.build(), Blame.NONE);
+        boolean otherGuilty = blame.entrySet().stream()
+                .anyMatch(e -> e.getKey() != v.build() && e.getValue() == Blame.GUILTY);
+        boolean open = blame.containsValue(Blame.OPEN);
+        if (v.verdict() == Verdict.ON && (open || otherGuilty) || v.verdict() == Verdict.ON && own == Blame.GUILTY) {
+            refuse(lane, v, "holds while blame is open");
+        } else if (v.verdict() == Verdict.BACK && own != Blame.GUILTY && (otherGuilty || own == Blame.CLEARED || open)
+                && now < doubtedSince.computeIfAbsent(v.build(), b -> now) + DOUBT) {
+            refuse(lane, v, "blame does not fall on it");
+        } else {
+            out.add(v);
+        }
+    }
+
+    /** The decider asks again; an answer that counts for nothing comes with its next events. */
+    private void refuse(Lane lane, Action.Vote v, String why) {
+        lane.events.add(new ReleaseNews(Answer.MOOT, 0, 0, 0, Phase.TRIAL, 0, true));
+        out.add(new Action.Log("build " + v.build() + " stage " + v.stage() + " " + v.verdict() + " not voted: " + why));
+    }
+
+    /** The guilty one is voted back whatever its own lane has seen, as long as it is on trial. */
+    private void blamed() {
+        blame.forEach((build, b) -> {
+            Release r = releases.get(build);
+            Long at = votedBack.get(build);
+            if (b == Blame.GUILTY && r != null && r.onTrial()
+                    && (at == null || now >= at + set.rollout().voteLife() * 6 / 10)) {
+                votedBack.put(build, now);
+                out.add(new Action.Vote(build, r.stage(), Verdict.BACK));
+                if (at == null) {
+                    out.add(new Action.Log("votes back on build " + build + ": blame falls on it"));
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/laurelkeel/lanes/Taken.java
@@ -0,0 +1,50 @@
+package laurelkeel.lanes;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reqs taken in the exposure's window, by scope. A lane's decider counts those of its lane; what its release may
+ * expose is a part of all. Telling it a cap that is higher by all to own makes its product the one that is meant.
+ */
+final class Taken {
+    /** The decider's own edge of a window, which makes it count fewer reqs than the window holds. */
+    private static final long EDGE = 60;
+
+    private final long window;
+    private final boolean perRoute;
+    private final List<ArrayDeque<Long>> at = new ArrayList<>();
+
+    Taken(int routes, long window, boolean perRoute) {
+        this.window = window;
+        this.perRoute = perRoute;
+        for (int i = 0; i < (perRoute ? routes : 1); i++) {
+            at.add(new ArrayDeque<>());
+        }
+    }
+
+    void add(int route, long now) {
+        at.get(perRoute ? route : 0).addLast(now);
+    }
+
+    private int count(int scope, long now) {
+        ArrayDeque<Long> times = at.get(scope);
+        while (!times.isEmpty() && times.peekFirst() < now - window + EDGE) {
+            times.pollFirst();
+        }
+        return times.size();
+    }
+
+    /** How many times a lane's reqs all reqs are, in the scope where that is least; at most the given. */
+    static double times(Taken all, Taken own, long now, double most) {
+        double least = most;
+        for (int s = 0; s < all.at.size(); s++) {
+            int mine = own.count(s, now);
+            if (mine > 0) {
+                least = Math.min(least, all.count(s, now) / (double) mine);
+            }
+        }
+        return Math.max(1, least);
+    }
+}
--- a/src/test/java/laurelkeel/ArrowsTest.java
+++ b/src/test/java/laurelkeel/ArrowsTest.java
@@ -21,9 +21,10 @@
             Map.entry("decision", List.of("api")), Map.entry("wire", List.of()), Map.entry("config", List.of()),
             Map.entry("loop", List.of()), Map.entry("records", List.of()), Map.entry("audit", List.of("records")),
             Map.entry("benchlink", List.of("api")),
-            Map.entry("bench", List.of("admin", "api", "decision", "wire", "standin")),
+            Map.entry("bench", List.of("admin", "api", "blame", "decision", "lanes", "wire", "standin")),
+            Map.entry("blame", List.of()), Map.entry("lanes", List.of("api")),
             Map.entry("admin", List.of()),
-            Map.entry("front", List.of("admin", "api", "wire", "config", "loop", "records")),
+            Map.entry("front", List.of("admin", "api", "blame", "lanes", "wire", "config", "loop", "records")),
             Map.entry("standin", List.of("wire", "loop", "records")),
             Map.entry("day", List.of("api", "audit", "config", "front", "loop", "records", "standin")));
 
@@ -41,9 +42,10 @@
 
     @Test
     void whatDecidesTouchesNoInputOutputClockOrThread() {
-        for (String p : List.of("api", "decision")) {
+        for (String p : List.of("api", "decision", "lanes", "blame")) {
             classes().that().resideInAPackage("laurelkeel." + p + "..").should().onlyDependOnClassesThat()
-                    .resideInAnyPackage("laurelkeel.api..", "laurelkeel.decision..", "java.lang..", "java.util",
+                    .resideInAnyPackage("laurelkeel.api..", "laurelkeel.decision..", "laurelkeel.lanes..",
+                            "laurelkeel.blame..", "org.apache.commons.math3..", "java.lang..", "java.util",
                             "java.util.function..", "java.util.stream..", "java.util.zip..", "java.nio.charset..")
                     .check(ALL);
             noClasses().that().resideInAPackage("laurelkeel." + p + "..").should()
