--- a/src/main/java/laurelkeel/day/Report.java
+++ b/src/main/java/laurelkeel/day/Report.java
@@ -41,7 +41,14 @@
                         g.phase().name().toLowerCase(Locale.ROOT).replace('_', ' '), (g.t() - start) / 10_000.0));
             }
         }
-        s.append('\n').append('\n');
+        s.append('\n');
+        for (Rec r : records) {
+            if (r instanceof Rec.Blamed b && !b.word().equals("none")) {
+                s.append(String.format(Locale.ROOT, "blame: %s, probability %.3f, at %.1f s: %s%n", b.word(),
+                        b.probability(), (b.t() - start) / 10_000.0, b.evidence()));
+            }
+        }
+        s.append('\n');
         return s + rules(j);
     }
 
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -52,7 +51,7 @@
 public final class Front {
     private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     private static final Logger DECIDER = LoggerFactory.getLogger("laurelkeel.decisions");
-    private static final int REFS = 50_000;
+    private static final int REFS = 1 << 16;
     /** The front's clock begins here, so that what began before the front did still has a moment above 0. */
     private static final long ORIGIN = 36_000_000;
 
@@ -78,17 +77,7 @@
 
     private List<Event> events = new ArrayList<>();
     private final Map<String, Held> held = new HashMap<>();
-    /** An answer that a complaint may be about. */
-    private record Complainable(String machine, long sentAt, int route, int customer) { }
-
-    private final Map<String, Complainable> refs = new LinkedHashMap<>(1024, 0.75f, false) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Complainable> eldest) {
-            return size() > REFS;
-        }
-    };
+    private final Refs refs = new Refs(REFS);
     private final Map<Integer, Lanes.Blame> blames = new HashMap<>();
     private long ids;
     private boolean draining;
@@ -251,6 +240,16 @@
                 ingress.answer(h.conn, h.asked.last(), Ingress.errored(false, "this front ended; the req may have run"));
             }
         }
+        ingress.flush();
+    }
+
+    /** The number in a req's id of this life; -1 for any other. */
+    private long numberOf(String ref) {
+        try {
+            return ref.startsWith(life + "-") ? Long.parseLong(ref.substring(life.length() + 1), 36) : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
     }
 
     /** Done with null after a drain, or with what the front failed of. */
@@ -291,6 +290,7 @@
     /** One turn's end: all events of it to the decider at once, and its actions in order. */
     private boolean turn() {
         if (events.isEmpty()) {
+            ingress.flush();
             return false;
         }
         List<Event> now = events;
@@ -299,6 +299,7 @@
         for (Action a : decider.decide(loop.now(), now)) {
             perform(a);
         }
+        ingress.flush();
         return !events.isEmpty();
     }
 
@@ -450,7 +451,7 @@
         counts.ended(outcome);
         reports.ended(s.at, loop.now(), s.machine, h.asked.route(), h.asked.customer(), outcome);
         if (outcome == Outcome.COMPLETED && !h.answered) {
-            refs.put(h.id, new Complainable(s.machine, s.at, h.asked.route(), h.asked.customer()));
+            refs.put(h.number, s.machine, s.at, h.asked.route(), h.asked.customer());
             close(h, End.COMPLETED);
             ingress.pass(h.conn, h.asked.last(), came.crossing(),
                     lines.line(Names.ANSWER, "completed").line(Names.REF, h.id));
@@ -497,9 +498,10 @@
     private final class Taker implements Door {
         @Override
         public void taken(ClientConn from, Asked asked, long arrived) {
-            String id = life + "-" + Long.toString(ids++, 36);
+            long number = ids++;
+            String id = life + "-" + Long.toString(number, 36);
             long leaves = arrived + asked.remaining();
-            Held h = new Held(id, from, asked, loop.now(), leaves);
+            Held h = new Held(id, number, from, asked, loop.now(), leaves);
             from.current(h);
             if (leaves <= loop.now()) {
                 // it waited its time away on its connection: nothing was begun
@@ -519,7 +521,7 @@
         @Override
         public void complaint(ClientConn from, HttpReq http) {
             String ref = new String(http.body(), StandardCharsets.UTF_8).strip();
-            Complainable c = refs.remove(ref);
+            Refs.Answer c = refs.take(numberOf(ref));
             if (c != null) {
                 events.add(new Event.Complaint(c.machine(), loop.now() - c.sentAt(), c.route()));
                 reports.wrong(c.sentAt(), c.machine(), c.route(), c.customer());
--- a/src/main/java/laurelkeel/front/Held.java
+++ b/src/main/java/laurelkeel/front/Held.java
@@ -27,6 +27,8 @@
     }
 
     final String id;
+    /** Its number among this life's reqs, of which the id is made. */
+    final long number;
     final ClientConn conn;
     final Asked asked;
     final long takenAt, leaves;
@@ -34,8 +36,9 @@
     boolean answered;
     Loop.Alarm lastCall;
 
-    Held(String id, ClientConn conn, Asked asked, long takenAt, long leaves) {
+    Held(String id, long number, ClientConn conn, Asked asked, long takenAt, long leaves) {
         this.id = id;
+        this.number = number;
         this.conn = conn;
         this.asked = asked;
         this.takenAt = takenAt;
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntToLongFunction;
@@ -39,6 +40,7 @@
     private final NioSocketAcceptor acceptor;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
+    private final ArrayList<Runnable> writes = new ArrayList<>();
 
     public Ingress(IngressSettings set, RouteTable table, IntToLongFunction timeouts, Loop loop, Door door) {
         this.set = set;
@@ -239,6 +241,21 @@
 
     private void answered(ClientConn conn, Supplier<WriteFuture> write) {
         conn.current = null;
+        writes.add(() -> written(conn, write));
+    }
+
+    /**
+     * Hands the turn's answers to the sockets. All at once: each first write wakes the thread that has the
+     * connection, which is a call of the system, and those that follow closely find it awake.
+     */
+    public void flush() {
+        for (int i = 0; i < writes.size(); i++) {
+            writes.get(i).run();
+        }
+        writes.clear();
+    }
+
+    private void written(ClientConn conn, Supplier<WriteFuture> write) {
         if (conn.gone) {
             conn.busy = false;
             return;
--- a/src/main/java/laurelkeel/front/news/ReleaseLine.java
+++ b/src/main/java/laurelkeel/front/news/ReleaseLine.java
@@ -12,7 +12,7 @@
  * @param phase trial, going-back, released or withdrawn
  * @param ageMs how long ago the state began, or the counted period ended, when the line was written
  * @param meanMs counts: the mean time of tries that did not fail
- * @param standing all builds that are neither released nor withdrawn; null from a line that knows one release only
+ * @param standing all builds that are not withdrawn; null from a line that knows one release only
  * @param blame none, open, cleared, guilty or set-aside; null for none
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
--- a/src/main/java/laurelkeel/lanes/Lane.java
+++ b/src/main/java/laurelkeel/lanes/Lane.java
@@ -22,7 +22,8 @@
     double toldCap = Double.NaN;
     /** Ids of machines it has been shown. */
     Set<String> shown = new HashSet<>();
-    final List<Event> events = new ArrayList<>();
+    List<Event> events = new ArrayList<>();
+    private List<Event> spare = new ArrayList<>();
     int held;
 
     Lane(int id, int build, Decider decider, Taken taken) {
@@ -31,4 +32,13 @@
         this.decider = decider;
         this.taken = taken;
     }
+
+    /** All events so far; new ones, also those that its actions bring, wait for its next turn. */
+    List<Event> turn() {
+        List<Event> now = events;
+        spare.clear();
+        events = spare;
+        spare = now;
+        return now;
+    }
 }
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -125,9 +125,7 @@
                 continue;
             }
             capFor(lane);
-            List<Event> own = List.copyOf(lane.events);
-            lane.events.clear();
-            for (Action a : lane.decider.decide(now, own)) {
+            for (Action a : lane.decider.decide(now, lane.turn())) {
                 act(lane, a);
             }
         }
--- a/src/main/java/laurelkeel/records/Rec.java
+++ b/src/main/java/laurelkeel/records/Rec.java
@@ -29,7 +29,8 @@
     @JsonSubTypes.Type(value = Rec.Ran.class, name = "ran"),
     @JsonSubTypes.Type(value = Rec.Replied.class, name = "replied"),
     @JsonSubTypes.Type(value = Rec.Voted.class, name = "voted"),
-    @JsonSubTypes.Type(value = Rec.Stage.class, name = "stage")})
+    @JsonSubTypes.Type(value = Rec.Stage.class, name = "stage"),
+    @JsonSubTypes.Type(value = Rec.Blamed.class, name = "blamed")})
 public sealed interface Rec {
     long t();
 
@@ -99,5 +100,8 @@
 
     record Voted(long t, int front, int build, int stage, String verdict, String answer) implements Rec { }
 
+    /** What the release line says of a build from then on: none, open, cleared, guilty or set-aside, and why. */
+    record Blamed(long t, int build, String word, double probability, String evidence) implements Rec { }
+
     record Stage(long t, int build, int stage, double cap, Phase phase) implements Rec { }
 }
--- a/src/main/java/laurelkeel/standin/ReleaseLine.java
+++ b/src/main/java/laurelkeel/standin/ReleaseLine.java
@@ -34,7 +34,7 @@
             int backVotes, int holdVotes, long leastStage, long voteLife, double votesPerSecond, long newsLag,
             long newsEvery, long startTime, long drainMost, int together) { }
 
-    private static final long BLAME_EVERY = 10_000;
+    private static final long BLAME_EVERY = 10_000, LAST_REPORTS = 80_000;
 
     private final Loop loop;
     private final Fleet fleet;
@@ -44,6 +44,7 @@
     private final TreeMap<Integer, Offer> offers = new TreeMap<>();
     private final ArrayDeque<Build> waiting = new ArrayDeque<>();
     private final Blaming blaming;
+    private final Map<Integer, String> words = new TreeMap<>();
     private Offer newest;
     private Build base;
     private volatile long stalledUntil = Long.MIN_VALUE, lateUntil = Long.MIN_VALUE;
@@ -156,7 +157,9 @@
             released(o);
         }
         if (o.over()) {
-            blaming.ended(o.build.number(), as == Rec.Phase.RELEASED);
+            // votes can be quicker than reports: what is on its way still says whether they were right
+            loop.at(loop.now() + (as == Rec.Phase.RELEASED ? 0 : LAST_REPORTS),
+                    () -> blaming.ended(o.build.number(), as == Rec.Phase.RELEASED));
             // the news of what has ended is still told for a while
             loop.at(loop.now() + 20 * 10_000, () -> {
                 if (o != newest && o.build != base) {
@@ -235,6 +238,10 @@
     private void judge() {
         loop.at(loop.now() + BLAME_EVERY, this::judge);
         for (Finding f : blaming.judge(loop.now())) {
+            String word = blaming.word(f.build());
+            if (!word.equals(words.put(f.build(), word))) {
+                records.accept(new Rec.Blamed(Recorder.now(), f.build(), word, f.probability(), f.evidence()));
+            }
             Offer o = offers.get(f.build());
             if (f.setAside() && o != null && o.onTrial()) {
                 blaming.setAside(f.build());
@@ -287,7 +294,8 @@
 
     private Map<String, Object> news(Offer o, String kind, String answer) {
         Map<String, Object> n = o.news(kind, answer, loop.clock());
-        n.put("standing", offers.values().stream().filter(x -> !x.over()).map(x -> x.build.number()).toList());
+        n.put("standing", offers.values().stream().filter(x -> x.phase != Rec.Phase.WITHDRAWN)
+                .map(x -> x.build.number()).toList());
         n.put("blame", onTrial() > 1 || blaming.word(o.build.number()).equals("guilty")
                 ? blaming.word(o.build.number()) : "none");
         return n;
--- a/src/test/java/laurelkeel/day/DayTest.java
+++ b/src/test/java/laurelkeel/day/DayTest.java
@@ -62,8 +62,14 @@
             """;
 
     private Judgement play(String more) throws Exception {
+        return play("", more);
+    }
+
+    /** line: more of the release line's settings. */
+    private Judgement play(String line, String more) throws Exception {
         ByteArrayOutputStream said = new ByteArrayOutputStream();
-        Judgement j = new Day(DayPlan.read(Ini.parse("small.ini", SMALL + more), "small"), 5, folder,
+        Judgement j = new Day(DayPlan.read(Ini.parse("small.ini",
+                SMALL.replace("[line]\n", "[line]\n" + line) + more), "small"), 5, folder,
                 new PrintStream(said)).play();
         assertEquals(5, j.kept(), said.toString());
         assertEquals(0, j.unanswered(), said.toString());
@@ -138,4 +144,32 @@
                 for = 1 s
                 """);
     }
+
+    @Test
+    void twoReleasesOneOfThemBad() throws Exception {
+        play("together = 2\n", """
+                [build 2]
+                work = 1
+                [build 3]
+                failing = 0.5
+                [event first]
+                at = 500 ms
+                what = offer
+                build = 2
+                [event second]
+                at = 1 s
+                what = offer
+                build = 3
+                [event crash]
+                at = 3 s
+                what = crash
+                machines = 2
+                back-after = 1 s
+                [event kill]
+                at = 5 s
+                what = kill-front
+                front = 0
+                back-after = 500 ms
+                """);
+    }
 }
