What serves beside a lane is never left for an earlier build while it stands

Build 2, on trial with all allowed, served beside build 3; when 3 went back its lane closed, and the last lane, build 2's own, saw build 1 again. A second: two trial builds that may have all, the earlier one grown later, took the place of the later one.

Change: while a build on trial has answered for a lane that is gone, the last lane sees nothing below it; among builds that may have all the latest serves beside, each held against the released one; a lane leaves what served beside it for a later build only.

--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -316,9 +316,10 @@
                 }
             }
         }
+        double before = size(floor);
         for (Release r : releases.values()) {
             boolean whole = r.onTrial() && r.cap() >= 1 && r.stage() >= set.rollout().guardedStages();
-            if (whole && r.build() < build && r.build() > floor && size(r.build()) >= GROWN * size(floor)) {
+            if (whole && r.build() < build && r.build() > floor && size(r.build()) >= GROWN * before) {
                 floor = r.build();
             }
         }
@@ -432,8 +433,11 @@
         boolean alone = open() == 1;
         for (Lane lane : lanes) {
             // a decider passes over news of builds before its own: what was released since stays its floor
-            boolean whole = alone && !lane.closing && lane.knows >= released;
+            boolean whole = alone && !lane.closing && lane.knows >= released && least < 0;
             int floor = whole ? -1 : floorFor(lane.build);
+            Release was = releases.get(lane.floor);
+            // what has answered for a lane is left for a later build only, while it stands
+            floor = was != null && was.onTrial() && !whole ? Math.max(floor, lane.floor) : floor;
             if (floor != lane.floor) {
                 lane.floor = floor;
                 show(lane);
--- a/src/test/java/laurelkeel/lanes/LanesTest.java
+++ b/src/test/java/laurelkeel/lanes/LanesTest.java
@@ -286,7 +286,7 @@
                     int build = new ArrayList<>(on.keySet()).get(r.nextInt(on.size()));
                     int stage = on.get(build);
                     if (what <= 3 && stage < 2) {
-                        w.machines(build, 3 + 4 * stage);
+                        w.machines(build, 3 + 14 * stage);
                         w.tells(build, stage + 1, Phase.TRIAL);
                         on.put(build, stage + 1);
                     } else if (what == 4 && stage == 2) {
