--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -277,9 +277,9 @@
                 list.put(m.machine(), m);
             }
         }
-        recut |= lanes.size() > 1;
+        recut |= cutNow();
         for (Lane lane : lanes) {
-            if (lanes.size() == 1) {
+            if (!cutNow()) {
                 lane.events.add(l);
                 l.machines().forEach(m -> lane.shown.add(m.machine()));
                 continue;
@@ -291,8 +291,16 @@
         }
     }
 
+    /** Whether any lane sees but a part: one that is alone may still be kept from going below what answered. */
+    private boolean cutNow() {
+        return lanes.size() > 1 || lanes.get(0).floor >= 0;
+    }
+
     private boolean sees(Lane lane, Listed m) {
-        return lane.floor < 0 || m.build() == lane.build || m.build() == lane.floor;
+        Release r = releases.get(m.build());
+        // its decider was never told of releases that had lanes of their own: those sent back must not pass for a base
+        boolean any = lane.floor < 0 && (r == null || !r.sentBack());
+        return any || m.build() == lane.build || m.build() == lane.floor;
     }
 
     private double size(int build) {
@@ -365,7 +373,7 @@
         if (lane != null) {
             lane.build = Math.max(lane.build, n.build());
         }
-        recut |= lanes.size() > 1 && !now.equals(before);
+        recut |= cutNow() && !now.equals(before);
         closeEnded();
     }
 
--- a/src/test/java/laurelkeel/lanes/LanesTest.java
+++ b/src/test/java/laurelkeel/lanes/LanesTest.java
@@ -104,6 +104,9 @@
             double cap = phase == Phase.RELEASED ? 1 : phase == Phase.TRIAL ? set.rollout().stageCaps().get(stage) : 0;
             Event.ReleaseNews n = new Event.ReleaseNews(Answer.OK, stage, cap, 0, phase, build, false);
             news.put(build, n);
+            // an answer to a vote tells what stands when it comes
+            due.values().forEach(l -> l.replaceAll(e -> e instanceof Event.ReleaseNews v && v.build() == build
+                    ? new Event.ReleaseNews(Answer.OK, stage, cap, 0, phase, build, true) : e));
             if (phase == Phase.RELEASED) {
                 news.headMap(build).clear();
             }
@@ -195,6 +198,9 @@
             if (by != null && m.build() < by) {
                 broken.add(now + ": key " + r.key() + " of build " + by + " went to " + m.build());
             }
+            if (n != null && (n.phase() == Phase.GOING_BACK || n.phase() == Phase.WITHDRAWN)) {
+                broken.add(now + ": sent to build " + m.build() + ", which was sent back");
+            }
             if (n != null && n.phase() == Phase.TRIAL) {
                 exposed(m.build(), r.route(), n);
                 if (n.stage() < set.rollout().guardedStages() && set.routes().get(r.route()).effect() != Effect.RETRIABLE) {
@@ -300,8 +306,11 @@
                         on.remove(build);
                     } else {
                         w.tells(build, stage, Phase.GOING_BACK);
+                        w.traffic(SECOND / 2, 5, 0);
                         w.gone(build);
                         on.remove(build);
+                        // the base comes back in its place
+                        w.machines(1, 8);
                         w.tells(build, stage, Phase.WITHDRAWN);
                     }
                 }
