Dead state out of blame and lanes; what was looked up twice is looked up once

Need: a last reading found fields written and never read, the most silent machine and the guilty builds worked out twice, and a stream over the lanes at every turn of a front with one release.

Change: those are gone or made once; a vote to go on has one condition in place of two.

--- a/src/main/java/laurelkeel/bench/BlameRun.java
+++ b/src/main/java/laurelkeel/bench/BlameRun.java
@@ -34,7 +34,7 @@
         final int at;
         int stage;
         long since;
-        boolean over, released;
+        boolean over;
         final double[] offsets = new double[MACHINES[MACHINES.length - 1]];
         // of the test that holds each release against all else by itself
         double own, ownHits, rest, restHits;
@@ -148,7 +148,6 @@
                         stageMoved(now);
                     } else if (f.verdict() == Finding.Verdict.CLEARED) {
                         r.over = true;
-                        r.released = true;
                         blame.ended(f.build(), true);
                     }
                 }
--- a/src/main/java/laurelkeel/blame/Blame.java
+++ b/src/main/java/laurelkeel/blame/Blame.java
@@ -134,13 +134,11 @@
         // a failing build can slow all by the tries it costs: what is seen side by side goes first
         if (!anyGuilty && top < Math.log(OPEN)) {
             for (List<Explained> course : List.of(times, hits)) {
-                for (int b : SharedHarm.guilty(course)) {
-                    Trial t = all.get(b);
-                    // of two only bad together the later one is named: without it there was no harm
-                    if (t.guiltyAt < 0 && b == newestOf(all, SharedHarm.guilty(course))) {
-                        t.guiltyAt = now;
-                        t.guiltyKind = Kind.HARMS_ALL;
-                    }
+                // of two only bad together the later one is named: without it there was no harm
+                Trial t = all.get(newestOf(all, SharedHarm.guilty(course)));
+                if (t != null && t.guiltyAt < 0) {
+                    t.guiltyAt = now;
+                    t.guiltyKind = Kind.HARMS_ALL;
                 }
             }
         }
--- a/src/main/java/laurelkeel/blame/Pool.java
+++ b/src/main/java/laurelkeel/blame/Pool.java
@@ -1,7 +1,6 @@
 package laurelkeel.blame;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -99,14 +98,4 @@
     private static int tries(List<Report.Cell> cells) {
         return cells.stream().mapToInt(Report.Cell::tries).sum();
     }
-
-    /** How many reports wait in open seconds. */
-    int waiting() {
-        return open.values().stream().mapToInt(Map::size).sum();
-    }
-
-    @Override
-    public String toString() {
-        return Arrays.toString(new long[] {doubled, late, unsound, left});
-    }
 }
--- a/src/main/java/laurelkeel/blame/Trial.java
+++ b/src/main/java/laurelkeel/blame/Trial.java
@@ -19,8 +19,7 @@
     private static final class Compared {
         final double[] lead = new double[3], spread = new double[3], even = new double[3];
         double logRatio = Double.NaN;
-        int tries, hits;
-        boolean othersOn;
+        int tries;
     }
 
     final int build;
@@ -53,7 +52,7 @@
         for (Counted c : counted) {
             c.next(s.byFront().size());
         }
-        String outHere = recent.sickMachine(build), silent = recent.mostSilent(build);
+        String outHere = recent.sickMachine(build);
         boolean several = recent.machines(build) > 1;
         int customer = recent.badCustomer(build);
         Set<String> out = new HashSet<>();
@@ -65,27 +64,22 @@
             badCustomers.add(customer);
         }
         Compared now = new Compared();
-        now.othersOn = othersOn;
         Map<Integer, Tally[]> all = new TreeMap<>();
         Map<String, Tally> machines = new HashMap<>();
         Map<Integer, Boolean> checked = new HashMap<>();
         Set<String> silentOut = new HashSet<>();
-        if (silent != null) {
-            silentOut.add(silent);
-        }
+        silentOut.add(recent.mostSilent(build));
         s.byFront().forEach((front, cells) -> {
             Map<Integer, Tally[]> routes = new TreeMap<>();
             for (Report.Cell c : cells) {
                 boolean own = c.build() == build;
                 if (!own && !checked.computeIfAbsent(c.build(), b -> {
-                    String o = beside.test(b) ? recent.sickMachine(b) : null;
-                    if (o != null) {
-                        out.add(o);
-                    }
-                    if (beside.test(b) && recent.mostSilent(b) != null) {
+                    boolean measure = beside.test(b);
+                    if (measure) {
+                        out.add(recent.sickMachine(b));
                         silentOut.add(recent.mostSilent(b));
                     }
-                    return beside.test(b);
+                    return measure;
                 }) || out.contains(c.machine()) || customer >= 0 && c.customer() == customer) {
                     continue;
                 }
@@ -96,7 +90,6 @@
                 if (own) {
                     machines.computeIfAbsent(c.machine() + "/" + c.route(), k -> new Tally()).add(c);
                     now.tries += c.tries();
-                    now.hits += c.fails() + c.silent() + c.wrongs();
                     (othersOn ? together : apart).add(c);
                 }
             }
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -459,9 +459,8 @@
         if (r == null || !r.onTrial()) {
             return;
         }
-        int n = open();
-        double cap = n == 1 && lanes.size() == 1 ? r.cap()
-                : Math.min(1, r.cap() * Taken.times(all, lane.taken, now, n));
+        double cap = lanes.size() == 1 ? r.cap()
+                : Math.min(1, r.cap() * Taken.times(all, lane.taken, now, open()));
         boolean told = !Double.isNaN(lane.toldCap);
         if (told ? cap != lane.toldCap : cap != r.cap()) {
             lane.events.add(new ReleaseNews(Answer.OK, r.stage(), cap, 0, r.phase(), r.build(), false));
@@ -519,7 +518,7 @@
         boolean otherGuilty = blame.entrySet().stream()
                 .anyMatch(e -> e.getKey() != v.build() && e.getValue() == Blame.GUILTY);
         boolean open = blame.containsValue(Blame.OPEN);
-        if (v.verdict() == Verdict.ON && (open || otherGuilty) || v.verdict() == Verdict.ON && own == Blame.GUILTY) {
+        if (v.verdict() == Verdict.ON && (open || otherGuilty || own == Blame.GUILTY)) {
             refuse(lane, v, "holds while blame is open");
         } else if (v.verdict() == Verdict.BACK && own != Blame.GUILTY && (otherGuilty || own == Blame.CLEARED || open)
                 && now < doubtedSince.computeIfAbsent(v.build(), b -> now) + DOUBT) {
