Lanes forget what has left its window, and the keys of releases that are over

Seen: lanes.Taken kept one Long a req for ever while a front has one release (nobody asks a lone lane for its part, and only asking forgot): 100,000 reqs of 1,000 s held 100,000 moments of a 4 s window. Ruled out: Held (leaves with its last try), doubtedSince and votedBack (leave with the release), the deciders' own pins (at most 200,000 a lane, after which a lane sends no new key to its trial). At fault: Taken.add, Lanes.ended and Lanes.news. Change: adding forgets too; news that ends a release drops the keys of lanes that stand for none on trial. Measured: the two new tests fail before (100,000 held; 600,000 keys kept, the new key not) and pass after; actions with one release unchanged (LanesTest, streams).

--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -102,6 +102,11 @@
         return (int) lanes.stream().filter(l -> !l.closing).count();
     }
 
+    /** How many keys are kept to their lanes. */
+    int keysKept() {
+        return laneOfKey.size();
+    }
+
     /** What others hold against a release; it counts from the next decisions on. */
     public void blame(int build, Blame b) {
         blame.put(build, b);
@@ -374,6 +379,13 @@
             lane.build = Math.max(lane.build, n.build());
         }
         recut |= cutNow() && !now.equals(before);
+        if (!now.onTrial() && !now.equals(before)) {
+            // or the keys of releases long over would leave no room for those of one that stands
+            Set<Integer> standing = new HashSet<>();
+            lanes.stream().filter(l -> releases.containsKey(l.build) && releases.get(l.build).onTrial())
+                    .forEach(l -> standing.add(l.id));
+            laneOfKey.values().removeIf(id -> !standing.contains(id));
+        }
         closeEnded();
     }
 
--- a/src/main/java/laurelkeel/lanes/Taken.java
+++ b/src/main/java/laurelkeel/lanes/Taken.java
@@ -25,7 +25,14 @@
     }
 
     void add(int route, long now) {
-        at.get(perRoute ? route : 0).addLast(now);
+        int scope = perRoute ? route : 0;
+        at.get(scope).addLast(now);
+        // here too: a lane that is alone is never asked for its part, and would keep a moment a req for ever
+        count(scope, now);
+    }
+
+    int held() {
+        return at.stream().mapToInt(ArrayDeque::size).sum();
     }
 
     private int count(int scope, long now) {
--- a/src/test/java/laurelkeel/lanes/LanesTest.java
+++ b/src/test/java/laurelkeel/lanes/LanesTest.java
@@ -374,4 +374,46 @@
         int sent = w.toMachine.getOrDefault("b1.cold", 0);
         assertTrue(sent > 0 && sent < 3 * 0.45 * 33, "sent " + sent);
     }
+
+    /** A decider that sends each req to the machine named and does nothing else. */
+    private static Lanes sendingTo(String machine) {
+        return new Lanes(settings(false, 0), 1, (set, seed) -> (now, events) -> events.stream()
+                .filter(e -> e instanceof Event.Req).map(e -> (Action) new Action.Send(((Event.Req) e).id(), machine, 0))
+                .toList());
+    }
+
+    private static void answered(Lanes lanes, long now, String key) {
+        lanes.decide(now, List.of(new Event.Req(key, 0, 0, key, now + SECOND, 0, false)));
+        lanes.decide(now, List.of(new Event.TryEnded(key, 0, "m", Outcome.COMPLETED, 1, true, Map.of())));
+    }
+
+    private static Event.ReleaseNews news(int build, Phase phase) {
+        return new Event.ReleaseNews(Answer.OK, 0, 1, 0, phase, build, false);
+    }
+
+    @Test
+    void whatIsCountedForTheCapLeavesWithItsWindowAlsoInALaneAlone() {
+        Taken taken = new Taken(1, WINDOW, false);
+        for (int i = 0; i < 100_000; i++) {
+            taken.add(0, i * 10L * MS);
+        }
+        assertTrue(taken.held() <= WINDOW / (10 * MS) + 1, "held " + taken.held());
+    }
+
+    @Test
+    void keysOfReleasesThatHaveEndedAreForgottenAndMakeRoomForThoseThatStand() {
+        Lanes lanes = sendingTo("m");
+        long now = SECOND;
+        lanes.decide(now, List.of(new Event.MachineList(ListKind.FULL, List.of(
+                new Listed("m", 2, 0, 0, 0, 1, MachineState.LIVE, 0))), news(1, Phase.RELEASED), news(2, Phase.TRIAL)));
+        for (int i = 0; i < 600_001; i++) {
+            answered(lanes, now, "k" + i);
+        }
+        lanes.decide(now, List.of(news(2, Phase.RELEASED)));
+        assertEquals(0, lanes.keysKept(), "the release is over");
+        lanes.decide(now, List.of(new Event.MachineList(ListKind.FULL, List.of(
+                new Listed("m", 3, 0, 0, 0, 1, MachineState.LIVE, 0))), news(3, Phase.TRIAL)));
+        answered(lanes, now, "new");
+        assertEquals(1, lanes.keysKept(), "a build on trial answered it: it must not be cut anew");
+    }
 }
