Log lines never hold up who logs them; alike ones are counted, and so is all left out

Seen: ConsoleAppender writes on the thread that logs. With a standard error that nobody reads, 60 lists of 50 machines in an unknown state (a warning each, from the loop thread) filled the pipe and the front answered no req any more (ScarceTest, before: no answer in 5 s, reqs unanswered; after: all 20 completed). Front.overdue logs a line a req in the same way. Ruled out: logback's own AsyncAppender with neverBlock (drops without a count) and DuplicateMessageFilter (drops for ever). At fault: logback-text.xml, logback-json.xml; Front.overdue, Told.event, Front.blamed as callers. Change: package logs: lines go to a bounded queue and a thread of their own; five alike a second go out, the rest are told as a sum a second, as is what the queue could not hold; laurelkeel_log_lines_left_out and laurelkeel_report_cells_left_out (counted before, shown nowhere) in the metrics. At a process's end the last lines have half a second. Measured: SparingTest: of 2,000 alike lines the sum told equals what was left out; 100,000 lines to a reader that stands still make no caller wait.

--- a/src/main/java/laurelkeel/cli/Cli.java
+++ b/src/main/java/laurelkeel/cli/Cli.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable;
 import laurelkeel.config.BadSettings;
+import laurelkeel.logs.Sparing;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -17,6 +18,8 @@
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:held, or ended as asked", "1:failed while running",
             "2:bad arguments or settings", "3:a rule was broken"})
 final class Cli implements Callable<Integer> {
+    /** What a process waits at its end for its last lines to be read. */
+    static final long LOGS_MS = 500;
     static final int FAILED = 1;
     static final int BAD_INPUT = 2;
     static final int RULE_BROKEN = 3;
@@ -47,7 +50,9 @@
             }
             return FAILED;
         });
-        return line.execute(args);
+        int code = line.execute(args);
+        Sparing.flush(LOGS_MS);
+        return code;
     }
 
     @Override
--- a/src/main/java/laurelkeel/cli/FrontCommand.java
+++ b/src/main/java/laurelkeel/cli/FrontCommand.java
@@ -6,6 +6,7 @@
 import laurelkeel.decision.Shifter;
 import laurelkeel.front.Front;
 import laurelkeel.front.FrontSettings;
+import laurelkeel.logs.Sparing;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -29,6 +30,7 @@
             } catch (Exception e) {
                 System.err.println("laurelkeel: the front did not end in its time: " + e);
             }
+            Sparing.flush(Cli.LOGS_MS);
         }, "drain");
         Runtime.getRuntime().addShutdownHook(hook);
         front.start();
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -35,6 +35,7 @@
 import laurelkeel.front.upstream.Exchange;
 import laurelkeel.front.upstream.Pools;
 import laurelkeel.lanes.Lanes;
+import laurelkeel.logs.Sparing;
 import laurelkeel.loop.Loop;
 import laurelkeel.wire.HttpAnswer;
 import laurelkeel.wire.HttpReq;
@@ -149,6 +150,8 @@
         counts.gauge("laurelkeel_machine_connections", pools::open);
         counts.gauge("laurelkeel_loop_backlog", loop::backlog);
         counts.gauge("laurelkeel_turned_away", ingress::turnedAway);
+        counts.gauge("laurelkeel_report_cells_left_out", () -> reports.leftOut);
+        counts.gauge("laurelkeel_log_lines_left_out", Sparing::leftOut);
         counts.gauge("laurelkeel_process_cpu_seconds", Jvm::cpuSeconds);
         counts.gauge("laurelkeel_allocated_bytes", Jvm::allocatedBytes);
         counts.gauge("laurelkeel_heap_bytes", Jvm::heapBytes);
--- a/src/test/java/laurelkeel/ArrowsTest.java
+++ b/src/test/java/laurelkeel/ArrowsTest.java
@@ -24,7 +24,8 @@
             Map.entry("bench", List.of("admin", "api", "blame", "decision", "lanes", "wire", "standin")),
             Map.entry("blame", List.of()), Map.entry("lanes", List.of("api")),
             Map.entry("admin", List.of()),
-            Map.entry("front", List.of("admin", "api", "blame", "lanes", "wire", "config", "loop", "records")),
+            Map.entry("front", List.of("admin", "api", "blame", "lanes", "wire", "config", "logs", "loop", "records")),
+            Map.entry("logs", List.of()),
             Map.entry("standin", List.of("blame", "wire", "loop", "records")),
             Map.entry("day", List.of("api", "audit", "config", "front", "loop", "records", "standin")));
 
--- /dev/null
+++ b/src/test/java/laurelkeel/logs/SparingTest.java
@@ -0,0 +1,84 @@
+package laurelkeel.logs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.AppenderBase;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class SparingTest {
+    private final List<String> written = new CopyOnWriteArrayList<>();
+    private final CountDownLatch read = new CountDownLatch(1);
+    private final LoggerContext context = new LoggerContext();
+    private final Logger log = context.getLogger("front");
+
+    private void begin(boolean held) {
+        AppenderBase<ILoggingEvent> err = new AppenderBase<>() {
+            @Override
+            protected void append(ILoggingEvent e) {
+                try {
+                    if (held) {
+                        read.await();
+                    }
+                } catch (InterruptedException x) {
+                    Thread.currentThread().interrupt();
+                }
+                written.add(e.getFormattedMessage());
+            }
+        };
+        context.setMDCAdapter(new LogbackMDCAdapter());
+        err.setContext(context);
+        err.start();
+        Sparing s = new Sparing();
+        s.setContext(context);
+        s.addAppender(err);
+        s.start();
+        log.addAppender(s);
+    }
+
+    private void await(String what) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (written.stream().noneMatch(w -> w.matches(what))) {
+            assertTrue(System.nanoTime() < end, what + " not in " + written);
+            Thread.sleep(5);
+        }
+    }
+
+    @Test
+    void ofAlikeLinesAFewAreWrittenAndTheRestAreCounted() throws Exception {
+        begin(false);
+        long before = Sparing.leftOut();
+        for (int i = 0; i < 1000; i++) {
+            log.error("req {} had no decision in its time", i);
+            log.info("{}", "build 7 stage 0 TRIAL, pace " + i / 7.0);
+        }
+        log.warn("something else");
+        await("something else");
+        await("\\d+ more lines like 'front: req \\{} had no decision in its time'");
+        await("\\d+ more lines like 'front: build # stage # TRIAL, pace #'");
+        long shown = written.stream().filter(w -> w.endsWith("in its time")).count();
+        assertTrue(shown >= 5 && shown < 100, "shown " + shown);
+        long told = written.stream().filter(w -> w.contains(" more lines like "))
+                .mapToLong(w -> Long.parseLong(w.substring(0, w.indexOf(' ')))).sum();
+        assertEquals(Sparing.leftOut() - before, told, "what was left out is told");
+    }
+
+    @Test
+    void whoLogsNeverWaitsForAReaderAndAllThatIsLostIsTold() throws Exception {
+        begin(true);
+        for (int i = 0; i < 100_000; i++) {
+            // of many kinds, so that no two are alike
+            log.info("line " + (char) ('a' + i % 26) + (char) ('a' + i / 26 % 26) + i);
+        }
+        read.countDown();
+        await("\\d+ lines were left out: .*|\\d+ more lines like 'of further kinds'");
+    }
+}
