A full disk ends no front: lost records are counted and told, the kept list is written again

Seen: Recorder threw UncheckedIOException on the loop thread through Told: with 64 KiB a file (ulimit -f) and lists of 901 machines the front ended; a half line in mid-file then made readAll refuse all of it. LastList did not try again, so a restart hours later found an old list. A list.json of "null" or with an entry of null ended the front at its start. Ruled out: the state folder's rename (a kill leaves the one before or the new one), records of stand-ins (same class). At fault: Recorder.record, LastList.write and read. Change: a record never fails its caller; what the disk does not take is cut off at the last whole line, counted (laurelkeel_records_lost) and told in the file by a line of kind lost once there is room; audit says how many it lacks. The kept list is tried again each second until it is written. A kept list that cannot be followed is passed over with a word.

--- a/src/main/java/laurelkeel/cli/AuditCommand.java
+++ b/src/main/java/laurelkeel/cli/AuditCommand.java
@@ -2,10 +2,13 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import laurelkeel.audit.Audit;
 import laurelkeel.audit.Judgement;
 import laurelkeel.day.Report;
+import laurelkeel.records.Rec;
+import laurelkeel.records.Recorder;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -23,7 +26,12 @@
         }
         Judgement j;
         try {
-            j = Audit.judge(folder);
+            List<Rec> records = Recorder.readAll(folder);
+            long lost = records.stream().mapToLong(r -> r instanceof Rec.Lost l ? l.records() : 0).sum();
+            if (lost > 0) {
+                System.err.println("laurelkeel: " + lost + " records did not reach the files; the verdicts are on the rest");
+            }
+            j = Audit.judge(records);
         } catch (IllegalArgumentException e) {
             System.err.println("laurelkeel: " + folder + ": " + e.getMessage());
             return Cli.BAD_INPUT;
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -150,6 +150,7 @@
         counts.gauge("laurelkeel_machine_connections", pools::open);
         counts.gauge("laurelkeel_loop_backlog", loop::backlog);
         counts.gauge("laurelkeel_turned_away", ingress::turnedAway);
+        counts.gauge("laurelkeel_records_lost", told::lost);
         counts.gauge("laurelkeel_report_cells_left_out", () -> reports.leftOut);
         counts.gauge("laurelkeel_log_lines_left_out", Sparing::leftOut);
         counts.gauge("laurelkeel_process_cpu_seconds", Jvm::cpuSeconds);
--- a/src/main/java/laurelkeel/front/LastList.java
+++ b/src/main/java/laurelkeel/front/LastList.java
@@ -9,6 +9,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import laurelkeel.front.news.ListLine;
 import org.slf4j.Logger;
@@ -22,6 +23,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(LastList.class);
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Often enough to lose little, seldom enough to cost nothing while a disk is full. */
+    private static final long AGAIN_MS = 1_000;
+
     private final Path file;
     private final ScheduledExecutorService saver;
     private final AtomicReference<List<ListLine.Machine>> next = new AtomicReference<>();
@@ -39,6 +43,11 @@
             }
             long since = Math.max(0, System.currentTimeMillis() - Files.getLastModifiedTime(file).toMillis());
             List<ListLine.Machine> kept = JSON.readValue(file.toFile(), new TypeReference<>() { });
+            String fault = kept == null ? "it is empty" : new ListLine("full", 0, 0, kept).fault();
+            if (fault != null) {
+                LOG.warn("{} cannot be followed; starting without a list: {}", file, fault);
+                return List.of();
+            }
             return kept.stream().map(m -> m.ageMs() < 0 ? m : m.aged(since)).toList();
         } catch (IOException e) {
             LOG.warn("{} cannot be read; starting without a list: {}", file, e.getMessage());
@@ -62,6 +71,10 @@
             Files.move(aside, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
         } catch (IOException e) {
             LOG.warn("the machine list could not be kept in {}: {}", file, e.getMessage());
+            // a list may not change for hours: once there is room, a restart must find this one
+            if (next.compareAndSet(null, machines)) {
+                saver.schedule(this::write, AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
         }
     }
 }
--- a/src/main/java/laurelkeel/front/Told.java
+++ b/src/main/java/laurelkeel/front/Told.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** Records that the disk did not take. */
+    long lost() {
+        return records == null ? 0 : records.lost();
+    }
+
     void close() {
         record(new Rec.FrontDown(Recorder.now(), self(), false));
         try {
--- a/src/main/java/laurelkeel/front/news/ListLine.java
+++ b/src/main/java/laurelkeel/front/news/ListLine.java
@@ -12,6 +12,19 @@
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record ListLine(String kind, long version, long previous, List<Machine> machines) {
 
+    /** Why it cannot be followed; null where it can. */
+    public String fault() {
+        if (!"full".equals(kind) && !"changes".equals(kind)) {
+            return "its kind is '" + kind + "'";
+        }
+        for (Machine m : machines) {
+            if (m == null || m.machine == null || m.state == null || m.zone == null) {
+                return "a machine without its name, state or zone";
+            }
+        }
+        return null;
+    }
+
     /**
      * One machine.
      *
--- a/src/main/java/laurelkeel/records/Rec.java
+++ b/src/main/java/laurelkeel/records/Rec.java
@@ -30,7 +30,8 @@
     @JsonSubTypes.Type(value = Rec.Replied.class, name = "replied"),
     @JsonSubTypes.Type(value = Rec.Voted.class, name = "voted"),
     @JsonSubTypes.Type(value = Rec.Stage.class, name = "stage"),
-    @JsonSubTypes.Type(value = Rec.Blamed.class, name = "blamed")})
+    @JsonSubTypes.Type(value = Rec.Blamed.class, name = "blamed"),
+    @JsonSubTypes.Type(value = Rec.Lost.class, name = "lost")})
 public sealed interface Rec {
     long t();
 
@@ -53,6 +54,9 @@
     record Rules(long t, List<RouteRule> routes, long drainGrace, long window, double free, boolean perRoute,
             int guardedStages, boolean keysStay, List<Double> stageCaps) implements Rec { }
 
+    /** So many records before this one did not reach the file. */
+    record Lost(long t, long records) implements Rec { }
+
     /** A client wrote a req to a front, to be answered before leaves. */
     record Asked(long t, String req, String of, int front, String route, String customer, String key, String mark,
             long leaves, boolean again) implements Rec { }
--- a/src/main/java/laurelkeel/records/Recorder.java
+++ b/src/main/java/laurelkeel/records/Recorder.java
@@ -3,11 +3,12 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
-import java.io.BufferedWriter;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -19,17 +20,29 @@
 /** Writes records to one file, from any thread, and reads them back. */
 public final class Recorder implements Closeable {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int BUFFER = 8 << 10;
 
-    private final BufferedWriter out;
+    private final FileChannel out;
     private final boolean eachAtOnce;
+    /** Whole lines that have not reached the file. */
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+    private int waiting;
+    private long lost, lostUntold;
 
     /** @param eachAtOnce every line reaches the file before record returns, for processes that may be killed */
     public Recorder(Path file, boolean eachAtOnce) throws IOException {
+        this(opened(file), eachAtOnce);
+    }
+
+    private static FileChannel opened(Path file) throws IOException {
         if (file.toAbsolutePath().getParent() != null) {
             Files.createDirectories(file.toAbsolutePath().getParent());
         }
-        this.out = Files.newBufferedWriter(file, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
-                StandardOpenOption.APPEND);
+        return FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+    }
+
+    Recorder(FileChannel out, boolean eachAtOnce) {
+        this.out = out;
         this.eachAtOnce = eachAtOnce;
     }
 
@@ -38,28 +51,71 @@
         return System.nanoTime() / 100_000;
     }
 
-    public void record(Rec r) {
+    /** Never fails its caller: what a full disk does not take is counted, and told in the file once there is room. */
+    public synchronized void record(Rec r) {
+        add(r);
+        if (eachAtOnce || lines.size() >= BUFFER) {
+            flush();
+        }
+    }
+
+    private void add(Rec r) {
         try {
-            String line = JSON.writeValueAsString(r);
-            synchronized (out) {
-                out.write(line);
-                out.write('\n');
-                if (eachAtOnce) {
-                    out.flush();
-                }
+            lines.write(JSON.writeValueAsBytes(r));
+            lines.write('\n');
+            waiting++;
+        } catch (IOException e) {
+            throw new UncheckedIOException("a record is none", e);
+        }
+    }
+
+    private void flush() {
+        if (lostUntold > 0) {
+            ByteArrayOutputStream kept = new ByteArrayOutputStream();
+            kept.writeBytes(lines.toByteArray());
+            lines.reset();
+            add(new Rec.Lost(now(), lostUntold));
+            waiting--;
+            lines.writeBytes(kept.toByteArray());
+        }
+        long before = -1;
+        try {
+            before = out.size();
+            for (ByteBuffer left = ByteBuffer.wrap(lines.toByteArray()); left.hasRemaining();) {
+                out.write(left);
             }
+            lostUntold = 0;
         } catch (IOException e) {
-            throw new UncheckedIOException("a record could not be written", e);
+            lost += waiting;
+            lostUntold += waiting;
+            cut(before);
         }
+        lines.reset();
+        waiting = 0;
     }
 
-    @Override
-    public void close() throws IOException {
-        synchronized (out) {
-            out.close();
+    /** Half a line in mid-file would make a reader refuse all of it. */
+    private void cut(long to) {
+        try {
+            if (to >= 0) {
+                out.truncate(to);
+            }
+        } catch (IOException e) {
+            // no file that has an end, as a device
         }
     }
 
+    /** Records that did not reach the file since the start. */
+    public synchronized long lost() {
+        return lost;
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        flush();
+        out.close();
+    }
+
     /**
      * All records of a folder's .jsonl files, by time; those of one moment stay in the order of their files.
      *
--- /dev/null
+++ b/src/test/java/laurelkeel/records/RecorderTest.java
@@ -0,0 +1,43 @@
+package laurelkeel.records;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledOnOs;
+import org.junit.jupiter.api.condition.OS;
+import org.junit.jupiter.api.io.TempDir;
+
+class RecorderTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    @EnabledOnOs(OS.LINUX)
+    void aFullDiskIsCountedAndFailsNobody() throws IOException {
+        for (boolean eachAtOnce : new boolean[] {true, false}) {
+            Recorder r = new Recorder(Path.of("/dev/full"), eachAtOnce);
+            for (int i = 0; i < 1000; i++) {
+                r.record(new Rec.FrontUp(i, 0, "life"));
+            }
+            r.close();
+            assertEquals(1000, r.lost());
+        }
+    }
+
+    @Test
+    void recordsComeBackAsTheyWereAndACutLastLineIsPassedOver() throws IOException {
+        Path file = folder.resolve("a.jsonl");
+        List<Rec> all = List.of(new Rec.FrontUp(1, 0, "x"), new Rec.Lost(2, 5), new Rec.FrontDown(3, 0, true));
+        try (Recorder r = new Recorder(file, false)) {
+            all.forEach(r::record);
+        }
+        assertEquals(all, Recorder.readAll(folder));
+        byte[] bytes = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(bytes, bytes.length - 4));
+        assertEquals(all.subList(0, 2), Recorder.readAll(folder));
+    }
+}
