Lists and release lines that lie, pour, trickle or never end harm nobody

Seen, each by a test in NewsTest, LoopTest or PauseTest: a list line with a null machine or without a kind, news without or with an unknown phase ended the front (NullPointerException on its loop thread); a list that jumps at each line was fetched once a line, all at the same time; a line without end was held whole; a vote's or list's body may come for ever (the JDK client's time ends with the headers); news that never pauses kept traffic and alarms from their turn (drained without end); all fronts reopen a watch each 500 ms in step. Found beside them: starts of machines that a gap in the watch hid stay for ever; fronts without a seed set all have seed 1, so that their chances fall alike (same first turns, same rounding at cold machines). Ruled out: trickled lines: silence was and is measured by whole lines, a watch without one for 3 s is cut. At fault: ListSource.line and fetch, ReleaseSource.line and vote, Watch (JDK line subscriber), Loop.run, Told.list, FrontSettings. Change: lines are checked where they are read, passed over with a word; one fetch at a time; lines and bodies up to 16 MiB; bodies have a time; more is read only after the loop dealt with what was heard; news has its part of a turn; pauses double from 0.5 to 8 s and are drawn by chance; a full list forgets starts it does not name; the seed's default is the front's number + 1.

--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -110,8 +110,10 @@
                 .connectTimeout(Duration.ofSeconds(2)).build();
         told = new Told(set, life, loop, new LastList(set.state(), timer));
         int self = set.decisions().self();
+        // by number too: fronts set to one seed would still come back in step
+        long pauses = 2 * (set.seed() * 100_003 + self);
         list = set.list() == null ? null : new ListSource(http, base(set.list()), timer, loop,
-                !set.decisions().allowed().listAsked(), new ListSource.Sink() {
+                !set.decisions().allowed().listAsked(), pauses, new ListSource.Sink() {
                     @Override
                     public void list(laurelkeel.front.news.ListLine line, long arrived) {
                         Event.MachineList l = told.list(line, arrived);
@@ -125,7 +127,7 @@
                     }
                 });
         release = set.release() == null ? null : new ReleaseSource(http, base(set.release()), self, timer, loop,
-                new ReleaseSource.Sink() {
+                pauses + 1, new ReleaseSource.Sink() {
                     @Override
                     public void news(ReleaseLine line, long arrived) {
                         events.addAll(told.news(line, arrived));
--- a/src/main/java/laurelkeel/front/FrontSettings.java
+++ b/src/main/java/laurelkeel/front/FrontSettings.java
@@ -106,7 +106,7 @@
                 peers.fault(k, "is no front's number; write as '1 = 127.0.0.1:9101'");
             }
         }
-        return new FrontSettings(decisions, front.whole("seed", "1", 0, Long.MAX_VALUE), zones, c.table(),
+        return new FrontSettings(decisions, front.whole("seed", Integer.toString(self + 1), 0, Long.MAX_VALUE), zones, c.table(),
                 ingress(front.address("listen", null), ini.section("clients", true)),
                 upstream(ini.section("machines", true)), optional(front, "admin"), optional(list, "address"),
                 optional(ini.section("release", true), "address"), optional(front, "notes"), at,
--- a/src/main/java/laurelkeel/front/Told.java
+++ b/src/main/java/laurelkeel/front/Told.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import laurelkeel.api.Event;
 import laurelkeel.front.news.ListLine;
 import laurelkeel.front.news.ReleaseLine;
@@ -90,6 +92,10 @@
         boolean full = line.kind().equals("full");
         if (full) {
             now.clear();
+            Set<String> named = new HashSet<>();
+            line.machines().forEach(m -> named.add(m.machine()));
+            // what a gap in the watch hid is told gone by no line: its start would stay for ever
+            starts.keySet().retainAll(named);
         }
         for (ListLine.Machine m : line.machines()) {
             if (m.state().equals("gone")) {
--- a/src/main/java/laurelkeel/front/news/ListSource.java
+++ b/src/main/java/laurelkeel/front/news/ListSource.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import laurelkeel.loop.Loop;
@@ -35,17 +36,19 @@
     private final Loop loop;
     private final Sink sink;
     private final boolean pushed;
+    private final Pause pause;
     private Watch watch;
     private long version = -1;
-    private boolean closed;
+    private boolean closed, fetching;
 
     public ListSource(HttpClient http, String base, ScheduledExecutorService timer, Loop loop, boolean pushed,
-            Sink sink) {
+            long seed, Sink sink) {
         this.http = http;
         this.base = base;
         this.timer = timer;
         this.loop = loop;
         this.pushed = pushed;
+        this.pause = new Pause(seed);
         this.sink = sink;
     }
 
@@ -76,7 +79,8 @@
     private synchronized void open() {
         if (!closed) {
             String after = version < 0 ? "" : "?after=" + version;
-            watch = Watch.open(http, URI.create(base + "/list/watch" + after), timer, l -> line(l, false), this::ended);
+            watch = Watch.open(http, URI.create(base + "/list/watch" + after), timer, loop,
+                    l -> line(l, false), this::ended);
         }
     }
 
@@ -87,17 +91,30 @@
         }
         LOG.warn("the watch on the machine list ended: {}", why);
         if (pushed) {
-            timer.schedule(this::open, 500, TimeUnit.MILLISECONDS);
+            timer.schedule(this::open, pause.ms(), TimeUnit.MILLISECONDS);
         } else {
             loop.postNews(sink::failed);
         }
     }
 
-    /** Asks for the whole list once. */
+    /** Asks for the whole list once; while an answer is awaited, that one stands for all that ask. */
     public void fetch() {
+        synchronized (this) {
+            if (closed || fetching) {
+                return;
+            }
+            fetching = true;
+        }
         HttpRequest ask = HttpRequest.newBuilder(URI.create(base + "/list"))
                 .timeout(Duration.ofMillis(Watch.SILENCE_MS)).GET().build();
-        http.sendAsync(ask, HttpResponse.BodyHandlers.ofString()).whenComplete((r, failure) -> {
+        CompletableFuture<HttpResponse<String>> answer = http.sendAsync(ask, i -> Lined.whole());
+        // the time set above ends with the headers: a body may come for ever
+        var limit = timer.schedule(() -> answer.cancel(true), 2 * Watch.SILENCE_MS, TimeUnit.MILLISECONDS);
+        answer.whenComplete((r, failure) -> {
+            limit.cancel(false);
+            synchronized (this) {
+                fetching = false;
+            }
             if (failure != null || r.statusCode() != 200) {
                 LOG.warn("the machine list could not be fetched: {}",
                         failure == null ? "status " + r.statusCode() : failure.getMessage());
@@ -117,9 +134,20 @@
             LOG.warn("a line of the machine list could not be read and is passed over: {}", e.getOriginalMessage());
             return;
         }
+        if (l == null) {
+            return;
+        }
+        if (!fetched) {
+            pause.well();
+        }
         if ("beat".equals(l.kind()) || l.machines() == null) {
             return;
         }
+        String fault = l.fault();
+        if (fault != null) {
+            LOG.warn("a line of the machine list is passed over: {}", fault);
+            return;
+        }
         synchronized (this) {
             boolean full = "full".equals(l.kind());
             if (fetched && l.version() < version) {
--- /dev/null
+++ b/src/main/java/laurelkeel/front/news/Pause.java
@@ -0,0 +1,35 @@
+package laurelkeel.front.news;
+
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32;
+
+/**
+ * How long to wait before a source that failed is asked again: twice as long each time, to a bound, and by chance
+ * between half and all of it. All fronts lose a source at one moment, and must not all come back at one.
+ */
+final class Pause {
+    private static final long LEAST_MS = 500;
+    /** Longer than it takes to start a service again, and short beside a stage. */
+    private static final long MOST_MS = 8_000;
+
+    private final long seed;
+    private long draws, next = LEAST_MS;
+
+    Pause(long seed) {
+        this.seed = seed;
+    }
+
+    /** It said something. */
+    synchronized void well() {
+        next = LEAST_MS;
+    }
+
+    synchronized long ms() {
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).array());
+        double chance = (crc.getValue() * 0x9E3779B97F4A7C15L >>> 11) * 0x1.0p-53;
+        long ms = (long) (next * (0.5 + 0.5 * chance));
+        next = Math.min(MOST_MS, next * 2);
+        return ms;
+    }
+}
--- a/src/main/java/laurelkeel/front/news/ReleaseLine.java
+++ b/src/main/java/laurelkeel/front/news/ReleaseLine.java
@@ -20,6 +20,16 @@
 public record ReleaseLine(String kind, String answer, int build, int stage, double cap, String phase, double ageMs,
         int route, long tries, long errors, double meanMs, List<Integer> standing, String blame) {
 
+    private static final List<String> PHASES = List.of("trial", "going-back", "released", "withdrawn");
+
+    /** Why it cannot be followed; null where it can. */
+    public String fault() {
+        boolean counts = "counts".equals(kind);
+        return counts ? null : phase == null || !PHASES.contains(phase) ? "its phase is '" + phase + "'"
+                : stage < 0 || !(cap >= 0 && cap <= 1) ? "its stage is " + stage + ", its cap " + cap
+                : standing != null && standing.contains(null) ? "a standing build is none" : null;
+    }
+
     public static ReleaseLine news(int build, int stage, double cap, String phase, double ageMs) {
         return new ReleaseLine("news", null, build, stage, cap, phase, ageMs, 0, 0, 0, 0, null, null);
     }
--- a/src/main/java/laurelkeel/front/news/ReleaseSource.java
+++ b/src/main/java/laurelkeel/front/news/ReleaseSource.java
@@ -8,6 +8,8 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -34,22 +36,25 @@
     private final ScheduledExecutorService timer;
     private final Loop loop;
     private final Sink sink;
+    private final Pause pause;
     private Watch watch;
     private boolean closed;
 
     public ReleaseSource(HttpClient http, String base, int front, ScheduledExecutorService timer, Loop loop,
-            Sink sink) {
+            long seed, Sink sink) {
         this.http = http;
         this.base = base;
         this.front = front;
         this.timer = timer;
         this.loop = loop;
         this.sink = sink;
+        this.pause = new Pause(seed);
     }
 
     public synchronized void start() {
         if (!closed) {
-            watch = Watch.open(http, URI.create(base + "/release/watch?front=" + front), timer, this::line, this::ended);
+            watch = Watch.open(http, URI.create(base + "/release/watch?front=" + front), timer, loop,
+                    this::line, this::ended);
         }
     }
 
@@ -63,7 +68,7 @@
     private synchronized void ended(String why) {
         if (!closed) {
             LOG.warn("the watch on the release line ended: {}", why);
-            timer.schedule(this::start, 500, TimeUnit.MILLISECONDS);
+            timer.schedule(this::start, pause.ms(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -71,7 +76,14 @@
         long arrived = loop.clock();
         try {
             ReleaseLine l = JSON.readValue(text, ReleaseLine.class);
-            if (!"beat".equals(l.kind())) {
+            if (l == null) {
+                return;
+            }
+            pause.well();
+            String fault = l.fault();
+            if (!"beat".equals(l.kind()) && fault != null) {
+                LOG.warn("a line of the release line is passed over: {}", fault);
+            } else if (!"beat".equals(l.kind())) {
                 loop.postNews(() -> sink.news(l, arrived));
             }
         } catch (JsonProcessingException e) {
@@ -101,15 +113,25 @@
         } catch (JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
-        http.sendAsync(ask, HttpResponse.BodyHandlers.ofString()).whenComplete((r, failure) -> {
+        CompletableFuture<HttpResponse<String>> sent = http.sendAsync(ask, i -> Lined.whole());
+        // the time set above ends with the headers: a body may come for ever
+        var limit = timer.schedule(() -> sent.cancel(true), timeoutMs, TimeUnit.MILLISECONDS);
+        sent.whenComplete((r, failure) -> {
+            limit.cancel(false);
             long arrived = loop.clock();
             Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-            String answer = cause instanceof HttpTimeoutException ? "timeout" : "error";
+            boolean late = cause instanceof HttpTimeoutException || cause instanceof CancellationException;
+            String answer = late ? "timeout" : "error";
             ReleaseLine line = null;
             if (failure == null && r.statusCode() == 200) {
                 try {
-                    line = JSON.readValue(r.body(), ReleaseLine.class);
-                    answer = line.answer() == null ? "error" : line.answer();
+                    ReleaseLine said = JSON.readValue(r.body(), ReleaseLine.class);
+                    if (said == null || said.phase() != null && said.fault() != null) {
+                        LOG.warn("the answer to a vote is passed over: {}", said == null ? "empty" : said.fault());
+                    } else {
+                        line = said;
+                        answer = line.answer() == null ? "error" : line.answer();
+                    }
                 } catch (JsonProcessingException e) {
                     LOG.warn("the answer to a vote could not be read: {}", e.getOriginalMessage());
                 }
--- a/src/main/java/laurelkeel/loop/Loop.java
+++ b/src/main/java/laurelkeel/loop/Loop.java
@@ -114,7 +114,8 @@
         thread = Thread.currentThread();
         while (!stopped) {
             now = Math.max(now, clock.getAsLong());
-            boolean ran = drain(news, Integer.MAX_VALUE);
+            // bounded too: a source that never pauses must not keep traffic and alarms from their turn
+            boolean ran = drain(news, A_TURN);
             ran |= drain(posted, A_TURN);
             while (!alarms.isEmpty() && alarms.peek().at <= now) {
                 Alarm due = alarms.poll();
--- a/src/test/java/laurelkeel/front/NewsTest.java
+++ b/src/test/java/laurelkeel/front/NewsTest.java
@@ -175,6 +175,95 @@
         }
     }
 
+    @Test
+    void linesThatCannotBeTrueArePassedOverAndEndNobody() throws Exception {
+        try (Peers p = new Peers(folder, sources("push"), (x, e) -> List.of())) {
+            BlockingQueue<String> list = says.get("/list/watch");
+            list.add("null");
+            list.add("[]");
+            list.add("{\"kind\":\"full\",\"version\":3,\"machines\":[null]}");
+            list.add("{\"version\":3,\"machines\":[]}");
+            list.add("{\"kind\":\"full\",\"version\":3,\"machines\":[{\"build\":4}]}");
+            list.add("{\"kind\":\"full\",\"version\":7,\"machines\":[" + LIVE.formatted(1, "500") + "]}");
+            BlockingQueue<String> line = says.get("/release/watch");
+            line.add("null");
+            line.add("{\"kind\":\"news\",\"build\":9,\"stage\":0,\"cap\":0.4}");
+            line.add("{\"kind\":\"news\",\"build\":9,\"stage\":0,\"cap\":0.4,\"phase\":\"perhaps\"}");
+            line.add("{\"kind\":\"news\",\"build\":9,\"stage\":-1,\"cap\":0.4,\"phase\":\"trial\"}");
+            line.add("{\"kind\":\"news\",\"build\":9,\"stage\":0,\"cap\":7,\"phase\":\"trial\"}");
+            line.add("{\"kind\":\"news\",\"build\":9,\"phase\":\"trial\",\"standing\":[null]}");
+            line.add("{\"kind\":\"news\",\"build\":9,\"stage\":1,\"cap\":0.4,\"phase\":\"trial\"}");
+            assertEquals(1, p.event(Event.ReleaseNews.class).stage());
+            Rig.await("the list", () -> lists(p).size() == 2);
+            assertEquals(4, lists(p).get(1).machines().get(0).build());
+            assertTrue(!p.front.ended().isDone());
+        }
+    }
+
+    @Test
+    void aListThatJumpsAtEachLineIsFetchedOnceAtATime() throws Exception {
+        try (Peers p = new Peers(folder, sources("push"), (x, e) -> List.of())) {
+            BlockingQueue<String> watch = says.get("/list/watch");
+            for (int i = 0; i < 500; i++) {
+                watch.add("{\"kind\":\"changes\",\"version\":" + (100 + 2 * i) + ",\"previous\":" + (99 + 2 * i)
+                        + ",\"machines\":[]}");
+            }
+            Rig.await("all lines are read", watch::isEmpty);
+            watch.add("{\"kind\":\"full\",\"version\":5000,\"machines\":[]}");
+            Rig.await("the list that follows", () -> lists(p).size() == 2);
+            assertEquals(1, asked.stream().filter(a -> a.equals("/list")).count(), "while none is answered");
+            says.get("/list").add("no");
+        }
+    }
+
+    @Test
+    void aVoteWhoseAnswerNeverEndsIsATimeout() throws Exception {
+        server.removeContext("/release/votes");
+        server.createContext("/release/votes", x -> {
+            x.sendResponseHeaders(200, 0);
+            try {
+                for (int i = 0; i < 2000; i++) {
+                    x.getResponseBody().write(' ');
+                    x.getResponseBody().flush();
+                    Thread.sleep(10);
+                }
+            } catch (IOException | InterruptedException e) {
+                // cut off, as it should be
+            }
+            x.close();
+        });
+        try (Peers p = new Peers(folder, sources("push"), (x, e) -> e instanceof Event.Req r
+                ? List.of(new Action.Vote(9, 1, Verdict.BACK), new Action.Err(r.id())) : List.of());
+                java.net.Socket c = p.client()) {
+            Peers.say(c, Peers.look(""));
+            assertEquals(Event.Answer.TIMEOUT, p.event(Event.ReleaseNews.class).answer());
+        }
+    }
+
+    @Test
+    void aLineWithoutAnEndIsCutOff() throws Exception {
+        byte[] much = "x".repeat(1 << 20).getBytes(StandardCharsets.US_ASCII);
+        java.util.concurrent.atomic.AtomicLong poured = new java.util.concurrent.atomic.AtomicLong();
+        java.util.concurrent.CountDownLatch cut = new java.util.concurrent.CountDownLatch(1);
+        server.removeContext("/list/watch");
+        server.createContext("/list/watch", x -> {
+            try {
+                x.sendResponseHeaders(200, 0);
+                for (int i = 0; i < 2_000; i++) {
+                    x.getResponseBody().write(much);
+                    poured.addAndGet(much.length);
+                }
+            } catch (IOException e) {
+                cut.countDown();
+            }
+            x.close();
+        });
+        try (Peers p = new Peers(folder, sources("push"), (x, e) -> List.of())) {
+            assertTrue(cut.await(20, TimeUnit.SECONDS), "poured " + poured);
+            assertTrue(poured.get() < 64 << 20, "poured " + poured);
+        }
+    }
+
     @Test
     void notesReachTheOtherFrontAndNothingElseDoes() throws Exception {
         InetAddress here = InetAddress.getByName("127.0.0.1");
--- /dev/null
+++ b/src/test/java/laurelkeel/front/news/PauseTest.java
@@ -0,0 +1,27 @@
+package laurelkeel.front.news;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PauseTest {
+    @Test
+    void frontsThatLoseASourceTogetherComeBackApartAndEverMoreSeldom() {
+        Set<Long> first = new HashSet<>();
+        for (int front = 0; front < 100; front++) {
+            Pause p = new Pause(front);
+            long once = p.ms();
+            first.add(once);
+            assertTrue(once >= 250 && once <= 500, "first " + once);
+            for (int i = 0; i < 10; i++) {
+                once = p.ms();
+            }
+            assertTrue(once >= 4_000 && once <= 8_000, "later " + once);
+            p.well();
+            assertTrue(p.ms() <= 500, "it was well meanwhile");
+        }
+        assertTrue(first.size() > 60, "100 fronts came back at " + first.size() + " moments");
+    }
+}
