--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -209,13 +209,13 @@
     private int stage;
     private double cap;
     private long stageSince;
-    private int trial = -1, base = -1, rival = -1, exposedOf = -1;
+    private int trial = -1, base = -1, rival = -1;
     private double baseAtStart, threshold;
     private final Map<String, Integer> pins = new HashMap<>();
     private final TreeSet<Integer> released = new TreeSet<>(Set.of(-1));
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
-    private final List<ArrayDeque<Long>> exposed = new ArrayList<>();
+    private final Map<Integer, List<ArrayDeque<Long>>> exposed = new HashMap<>();
     private final Map<String, Long> given = new HashMap<>();
     private final TreeMap<Long, Second> seconds = new TreeMap<>();
 
@@ -243,7 +243,6 @@
         for (Route route : settings.routes()) {
             times.add(new Times(route.objective() / 5.0));
             taken.add(new ArrayDeque<>());
-            exposed.add(new ArrayDeque<>());
         }
     }
 
@@ -426,11 +425,6 @@
             threshold = 0;
             baseAtStart = 0;
         }
-        // a build that leaves the list before its news, and returns, has its tries of this window still
-        if (trial >= 0 && trial != exposedOf) {
-            exposedOf = trial;
-            exposed.forEach(ArrayDeque::clear);
-        }
         base = earlier;
         rival = trial >= 0 ? base : rival;
         places = Math.max(liveSize, places * 0.9999);
@@ -481,6 +475,12 @@
         return set.rollout().perRoute() ? route : 0;
     }
 
+    /** A build that leaves the list ahead of its news, or is passed by another, and returns, has its tries still. */
+    private ArrayDeque<Long> exposed(int build, int route) {
+        return exposed.computeIfAbsent(build, k -> set.routes().stream().map(r -> new ArrayDeque<Long>()).toList())
+                .get(scope(route));
+    }
+
     private boolean trialOpen(Rq rq, boolean pinned) {
         Route route = set.routes().get(rq.is.route());
         boolean guarded = trialStage() < set.rollout().guardedStages();
@@ -489,7 +489,7 @@
         }
         int s = scope(rq.is.route());
         long window = set.rollout().window();
-        int tries = countSince(exposed.get(s), now - window - WINDOW_EDGE);
+        int tries = countSince(exposed(trial, rq.is.route()), now - window - WINDOW_EDGE);
         double share = trialCap() * countSince(taken.get(s), now - window + WINDOW_EDGE);
         double reserve = pinned ? 0 : RESERVE * share;
         return tries + 1 + reserve <= set.rollout().free() + share;
@@ -842,7 +842,7 @@
         second(now).sends++;
         second(now).trialSends += m.build == judged() ? 1 : 0;
         if (m.build == trial) {
-            exposed.get(scope(rq.is.route())).addLast(now);
+            exposed(trial, rq.is.route()).addLast(now);
         }
     }
 
@@ -1089,7 +1089,8 @@
         tickedAt = now;
         long keep = Math.max(set.rollout().window(), set.limits().tipAfter()) + SECOND;
         taken.forEach(times -> forget(times, now - keep));
-        exposed.forEach(times -> forget(times, now - keep));
+        exposed.values().forEach(routes -> routes.forEach(times -> forget(times, now - keep)));
+        exposed.values().removeIf(routes -> routes.stream().allMatch(ArrayDeque::isEmpty));
         for (Machine m : machines.values()) {
             if (now >= m.luckUntil) {
                 m.luck = chance();
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -220,7 +220,8 @@
         if (admin != null) {
             ends.add(admin::close);
         }
-        ends.addAll(List.of(timer::shutdown, httpThreads::shutdown, socketThreads::shutdown, told::close));
+        // threads of sockets still close those, and end when nothing is left to do
+        ends.addAll(List.of(timer::shutdown, httpThreads::shutdown, told::close));
         for (Runnable end : ends) {
             try {
                 end.run();
--- a/src/main/java/laurelkeel/lanes/Lane.java
+++ b/src/main/java/laurelkeel/lanes/Lane.java
@@ -18,6 +18,8 @@
     int floor = -1;
     /** The latest build that it has been told is released. */
     int knows = -1;
+    /** Builds that it has been told are sent back; of others it would take one for a base. */
+    final Set<Integer> back = new HashSet<>();
     boolean closing;
     double toldCap = Double.NaN;
     /** Ids of machines it has been shown. */
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -48,15 +48,21 @@
     private static final class Held {
         final Lane lane;
         final String key;
+        final int route;
         boolean answered;
-        int out, build = -1;
+        /** Tries that went on, and tries that were kept back here: its decider counts both. */
+        int out, sent, keptBack, build = -1;
 
-        Held(Lane lane, String key) {
+        Held(Lane lane, String key, int route) {
             this.lane = lane;
             this.key = key;
+            this.route = route;
         }
     }
 
+    /** The lane of a key and the latest build that answered it there. */
+    private record Kept(int lane, int build) { }
+
     private final Settings set;
     private final Maker maker;
     private final long seed;
@@ -73,10 +79,13 @@
     private final Map<String, Listed> list = new LinkedHashMap<>();
     private final Map<String, Held> held = new HashMap<>();
     /** Keys that a build on trial has answered, and in which lane: they are never cut anew while that is open. */
-    private final Map<String, Integer> laneOfKey = new HashMap<>();
+    private final Map<String, Kept> laneOfKey = new HashMap<>();
     /** A build on trial that has taken over for a lane which is gone: nobody goes below it any more. */
     private int least = -1;
     private final Taken all;
+    /** Tries at each build on trial, whichever lane's: it may serve beside others, whose deciders do not bound it. */
+    private final Map<Integer, Taken> tries = new HashMap<>();
+    private boolean keptBack;
     private int nextLane, complaints;
     private int released = -1;
     private boolean recut;
@@ -88,13 +97,13 @@
         this.maker = maker;
         this.seed = seed;
         this.salt = ("lanes/" + seed).getBytes(StandardCharsets.US_ASCII);
-        this.all = taken();
-        lanes.add(new Lane(nextLane, -1, maker.make(set, seed), taken()));
+        this.all = taken(false);
+        lanes.add(new Lane(nextLane, -1, maker.make(set, seed), taken(false)));
         nextLane++;
     }
 
-    private Taken taken() {
-        return new Taken(set.routes().size(), set.rollout().window(), set.rollout().perRoute());
+    private Taken taken(boolean tries) {
+        return new Taken(set.routes().size(), set.rollout().window(), set.rollout().perRoute(), tries);
     }
 
     /** How many lanes take reqs. */
@@ -130,9 +139,13 @@
                 continue;
             }
             capFor(lane);
-            for (Action a : lane.decider.decide(now, lane.turn())) {
-                act(lane, a);
-            }
+            do {
+                keptBack = false;
+                for (Action a : lane.decider.decide(now, lane.turn())) {
+                    act(lane, a);
+                }
+                // a req whose try was kept back is placed anew or answered at once
+            } while (keptBack);
         }
         lanes.removeIf(l -> l.closing && l.held == 0 && lanes.size() > 1);
         return List.copyOf(out);
@@ -146,7 +159,8 @@
         } else if (e instanceof Event.TryEnded t) {
             ended(t);
         } else if (e instanceof Event.AnswerBegun b) {
-            toHolder(b.req(), e);
+            Held h = held.get(b.req());
+            toHolder(b.req(), h == null ? e : new Event.AnswerBegun(b.req(), b.tryNo() + h.keptBack));
         } else if (e instanceof Event.ClientLeft c) {
             toHolder(c.req(), e);
             over(c.req());
@@ -179,10 +193,10 @@
 
     private void take(Event.Req r) {
         Lane lane = laneOf(r.key());
-        held.put(r.id(), new Held(lane, r.key()));
+        all.add(r.route(), now);
+        held.put(r.id(), new Held(lane, r.key(), r.route()));
         lane.held++;
         lane.taken.add(r.route(), now);
-        all.add(r.route(), now);
         lane.events.add(r);
     }
 
@@ -191,10 +205,10 @@
         if (lanes.size() == 1) {
             return lanes.get(0);
         }
-        Integer by = key == null ? null : laneOfKey.get(key);
+        Kept by = key == null ? null : laneOfKey.get(key);
         if (by != null) {
             for (Lane l : lanes) {
-                if (!l.closing && l.id == by) {
+                if (!l.closing && l.id == by.lane) {
                     return l;
                 }
             }
@@ -233,17 +247,20 @@
 
     private void ended(Event.TryEnded t) {
         Held h = held.get(t.req());
-        toHolder(t.req(), t);
         if (h == null) {
+            toHolder(t.req(), t);
             return;
         }
+        toHolder(t.req(), h.keptBack == 0 ? t : new Event.TryEnded(t.req(), t.tryNo() + h.keptBack, t.machine(), t.outcome(),
+                t.took(), t.reqOver(), t.load()));
         h.out--;
         h.answered |= t.outcome() == Outcome.COMPLETED || t.reqOver();
         Release by = releases.get(h.build);
         boolean ahead = h.build > released && (by == null || !by.sentBack());
         if (t.outcome() == Outcome.COMPLETED && h.key != null && ahead && set.rollout().keysStay()
                 && laneOfKey.size() < MOST_KEYS) {
-            laneOfKey.put(h.key, h.lane.id);
+            // an answer under way while lanes were cut anew may come late, from an earlier build
+            laneOfKey.merge(h.key, new Kept(h.lane.id, h.build), (was, is) -> was.build > is.build ? was : is);
         }
         forget(t.req(), h);
     }
@@ -284,14 +301,22 @@
         }
         recut |= cutNow();
         for (Lane lane : lanes) {
-            if (!cutNow()) {
+            if (!cutNow() && seesAll(lane)) {
                 lane.events.add(l);
                 l.machines().forEach(m -> lane.shown.add(m.machine()));
                 continue;
             }
-            List<Listed> seen = l.machines().stream()
-                    .filter(m -> sees(lane, m) || lane.shown.contains(m.machine())).toList();
-            seen.forEach(m -> lane.shown.add(m.machine()));
+            List<Listed> seen = new ArrayList<>();
+            for (Listed m : l.machines()) {
+                if (sees(lane, m)) {
+                    lane.shown.add(m.machine());
+                    seen.add(m);
+                } else if (lane.shown.remove(m.machine())) {
+                    // started anew with a build that is not this lane's: to its decider it is gone
+                    seen.add(new Listed(m.machine(), m.build(), m.zone(), m.cell(), m.kind(), m.size(), MachineState.GONE,
+                            m.started()));
+                }
+            }
             lane.events.add(new Event.MachineList(l.kind(), seen));
         }
     }
@@ -304,10 +329,14 @@
     private boolean sees(Lane lane, Listed m) {
         Release r = releases.get(m.build());
         // its decider was never told of releases that had lanes of their own: those sent back must not pass for a base
-        boolean any = lane.floor < 0 && (r == null || !r.sentBack());
+        boolean any = lane.floor < 0 && (r == null || !r.sentBack() || lane.back.contains(m.build()));
         return any || m.build() == lane.build || m.build() == lane.floor;
     }
 
+    private boolean seesAll(Lane lane) {
+        return releases.values().stream().noneMatch(r -> r.sentBack() && !lane.back.contains(r.build()));
+    }
+
     private double size(int build) {
         return list.values().stream().filter(m -> m.build() == build && m.state() == MachineState.LIVE)
                 .mapToDouble(Listed::size).sum();
@@ -372,7 +401,11 @@
             if (l == lane || ends) {
                 l.toldCap = Double.NaN;
                 l.events.add(n);
-                l.knows = n.phase() == Phase.RELEASED ? Math.max(l.knows, n.build()) : l.knows;
+                if (now.sentBack() && n.build() >= l.build) {
+                    l.back.add(n.build());
+                }
+                // of a build before its own it was told for nothing: it passes that over
+                l.knows = n.phase() == Phase.RELEASED && n.build() >= l.build ? Math.max(l.knows, n.build()) : l.knows;
             }
         }
         if (lane != null) {
@@ -381,10 +414,8 @@
         recut |= cutNow() && !now.equals(before);
         if (!now.onTrial() && !now.equals(before)) {
             // or the keys of releases long over would leave no room for those of one that stands
-            Set<Integer> standing = new HashSet<>();
-            lanes.stream().filter(l -> releases.containsKey(l.build) && releases.get(l.build).onTrial())
-                    .forEach(l -> standing.add(l.id));
-            laneOfKey.values().removeIf(id -> !standing.contains(id));
+            laneOfKey.values().removeIf(k -> !stands(k.build));
+            tries.keySet().removeIf(b -> !stands(b));
         }
         closeEnded();
     }
@@ -408,6 +439,12 @@
         }
     }
 
+    /** Whether a key that this build has answered may go to no earlier one. */
+    private boolean stands(int build) {
+        Release r = releases.get(build);
+        return build > released && (r == null || !r.sentBack());
+    }
+
     private Lane laneFor(int build) {
         for (Lane l : lanes) {
             if (l.build == build) {
@@ -425,7 +462,7 @@
         if (n.build() <= released || open() >= MOST) {
             return null;
         }
-        Lane lane = new Lane(nextLane, n.build(), maker.make(set, seed * 31 + nextLane), taken());
+        Lane lane = new Lane(nextLane, n.build(), maker.make(set, seed * 31 + nextLane), taken(false));
         nextLane++;
         lanes.add(lane);
         closeEnded();
@@ -484,19 +521,16 @@
 
     private void act(Lane lane, Action a) {
         if (a instanceof Action.Send s) {
-            Held h = held.get(s.req());
-            if (h != null) {
-                Listed to = list.get(s.machine());
-                h.out++;
-                h.build = to == null ? -1 : to.build();
-            }
-            out.add(a);
+            send(lane, s);
         } else if (a instanceof Action.Shed s) {
             over(s.req());
             out.add(a);
         } else if (a instanceof Action.Err s) {
             over(s.req());
             out.add(a);
+        } else if (a instanceof Action.StopTry s) {
+            Held h = held.get(s.req());
+            out.add(h == null ? a : new Action.StopTry(s.req(), s.tryNo() - h.keptBack));
         } else if (a instanceof Action.Timer t) {
             out.add(new Action.Timer(t.when(), lane.id));
         } else if (a instanceof Action.Vote v) {
@@ -512,6 +546,51 @@
         }
     }
 
+    /** Passes a try on, or keeps it back: its decider hears that it was not sent, and places the req anew or answers it. */
+    private void send(Lane lane, Action.Send s) {
+        Held h = held.get(s.req());
+        Listed to = list.get(s.machine());
+        int build = to == null ? -1 : to.build();
+        if (h != null && (wentAhead(h, lane, build) || overCap(h, build))) {
+            lane.events.add(new Event.TryEnded(s.req(), h.sent + h.keptBack, s.machine(), Outcome.NOT_SENT, 0, h.answered,
+                    Map.of()));
+            h.keptBack++;
+            keptBack = true;
+            return;
+        }
+        if (h != null) {
+            h.out++;
+            h.sent++;
+            h.build = build;
+        }
+        out.add(s);
+    }
+
+    /** A later build has answered its key in a lane that is gone, or while lanes were cut anew: this decider knows of none. */
+    private boolean wentAhead(Held h, Lane lane, int build) {
+        Kept by = h.key == null ? null : laneOfKey.get(h.key);
+        return by != null && by.lane != lane.id && build < by.build && stands(by.build);
+    }
+
+    /**
+     * The tries of all lanes at a build on trial, also ahead of its news. Each decider keeps a bound for its own, but one
+     * beside which the build serves knows of none, and one made for it knows nothing of what another lane sent before.
+     */
+    private boolean overCap(Held h, int build) {
+        Release r = releases.get(build);
+        boolean ahead = r == null && !releases.isEmpty() && build > releases.lastKey();
+        if (!ahead && (r == null || !r.onTrial())) {
+            return false;
+        }
+        double cap = ahead ? set.rollout().stageCaps().get(0) : r.cap();
+        Taken sent = tries.computeIfAbsent(build, k -> taken(true));
+        if (lanes.size() > 1 && sent.of(h.route, now) + 1 > set.rollout().free() + cap * all.of(h.route, now)) {
+            return true;
+        }
+        sent.add(h.route, now);
+        return false;
+    }
+
     private void over(String req) {
         Held h = held.get(req);
         if (h != null) {
--- a/src/main/java/laurelkeel/lanes/Taken.java
+++ b/src/main/java/laurelkeel/lanes/Taken.java
@@ -9,15 +9,16 @@
  * expose is a part of all. Telling it a cap that is higher by all to own makes its product the one that is meant.
  */
 final class Taken {
-    /** The decider's own edge of a window, which makes it count fewer reqs than the window holds. */
+    /** The decider's own edge of a window, which makes it count fewer reqs, and more tries, than the window holds. */
     private static final long EDGE = 60;
 
     private final long window;
     private final boolean perRoute;
     private final List<ArrayDeque<Long>> at = new ArrayList<>();
 
-    Taken(int routes, long window, boolean perRoute) {
-        this.window = window;
+    /** @param tries what is counted is to be bounded, by reqs that are not */
+    Taken(int routes, long window, boolean perRoute, boolean tries) {
+        this.window = tries ? window + EDGE : window - EDGE;
         this.perRoute = perRoute;
         for (int i = 0; i < (perRoute ? routes : 1); i++) {
             at.add(new ArrayDeque<>());
@@ -37,12 +38,17 @@
 
     private int count(int scope, long now) {
         ArrayDeque<Long> times = at.get(scope);
-        while (!times.isEmpty() && times.peekFirst() < now - window + EDGE) {
+        while (!times.isEmpty() && times.peekFirst() < now - window) {
             times.pollFirst();
         }
         return times.size();
     }
 
+    /** How many there were, where a req of this route counts. */
+    int of(int route, long now) {
+        return count(perRoute ? route : 0, now);
+    }
+
     /** How many times a lane's reqs all reqs are, in the scope where that is least; at most the given. */
     static double times(Taken all, Taken own, long now, double most) {
         double least = most;
