What no decider acts on goes: second copies, and the news that an answer began

Seen: 'copies' was off in every file and read by nobody: an operator could set it to no effect. AnswerStart made the I/O threads write, the loop run a post and the decider a turn for each body that came in two reads, on the side of reqs to nobody at all; Shifter has no case for it and no test showed it to work. Change: Allowed.copies and its key; HttpCodec.AnswerStart, Exchange.Heard.begun. A file with 'copies' is now told that it knows no such key. The rule 1 property withholds a tenth of all time-outs: without that it did not see the alarm at a req's end taken out.

--- a/src/main/java/laurelkeel/api/Settings.java
+++ b/src/main/java/laurelkeel/api/Settings.java
@@ -20,7 +20,7 @@
     public record Limits(long drainGrace, long coldFor, double coldFrom, long tipAfter, double tipMultiple,
             long askWithin) { }
 
-    public record Allowed(int tries, boolean probes, boolean notes, boolean stops, boolean copies, boolean retryAfter,
+    public record Allowed(int tries, boolean probes, boolean notes, boolean stops, boolean retryAfter,
             long longestRetryAfter, boolean listAsked) { }
 
     public record Prices(double crossZone, double probe, double note, double behind, double harm) { }
--- a/src/main/java/laurelkeel/bench/DecisionBench.java
+++ b/src/main/java/laurelkeel/bench/DecisionBench.java
@@ -57,7 +57,7 @@
         List<Route> routes = List.of(new Route(Effect.RETRIABLE, Group.ALL, 800 * MS, 2500 * MS, 2, 0, 0),
                 new Route(Effect.NON_RETRIABLE, Group.ALL, 1000 * MS, 3000 * MS, 1, 0, 0));
         Settings set = new Settings(0, 4, 0, routes, List.of(), new Settings.Limits(10_000, 50_000, 0.4, 20_000, 3,
-                100_000), new Settings.Allowed(4, true, false, true, false, true, 10_000, false),
+                100_000), new Settings.Allowed(4, true, false, true, true, 10_000, false),
                 new Settings.Prices(0.05, 0.01, 0.01, 0.5, 3), new Settings.Rollout(Settings.Control.COUNT, 2, 2, 0,
                         60_000, 10_000, 40, List.of(0.1, 1.0), 20_000, 0, true, 40_000, 2, false, 0, 0.3), false);
         shifter = new Shifter(set, 1);
--- a/src/main/java/laurelkeel/bench/Streams.java
+++ b/src/main/java/laurelkeel/bench/Streams.java
@@ -76,7 +76,7 @@
                 new Route(Effect.NON_RETRIABLE, Group.ALL, SECOND, 3 * SECOND, 1, 0, 0));
         return new Settings(0, 4, 0, routes, List.of(new Settings.Customer(500)),
                 new Settings.Limits(SECOND, 5 * SECOND, 0.4, 2 * SECOND, 3, 10 * SECOND),
-                new Settings.Allowed(4, true, false, true, false, true, SECOND, false),
+                new Settings.Allowed(4, true, false, true, true, SECOND, false),
                 new Settings.Prices(0.05, 0.01, 0.01, 0.5, 3), new Settings.Rollout(Settings.Control.COUNT, 2, 2, 0,
                         6 * SECOND, SECOND, 40, List.of(0.1, 0.4, 1.0), 2 * SECOND, 0, true, 4 * SECOND, 2, perRoute, 0,
                         0.3), false);
--- a/src/main/java/laurelkeel/benchlink/Options.java
+++ b/src/main/java/laurelkeel/benchlink/Options.java
@@ -93,7 +93,7 @@
                 new Limits(time("rules.drainGrace"), time("rules.cold"), number("rules.coldFrom"),
                         time("rules.tipAfter"), number("rules.tipMultiple"), time("rules.askWithin")),
                 new Allowed(whole("allowed.maxAttempts"), on("allowed.mayProbe"), on("allowed.mayTell"),
-                        on("allowed.cancel"), on("allowed.parallelTries"), on("allowed.retryAfter"),
+                        on("allowed.cancel"), on("allowed.retryAfter"),
                         time("allowed.maxRetryAfter"), get("membershipMode", "push", "mode", ASKED::get)),
                 new Prices(number("prices.crossZone"), number("prices.probe"), number("prices.peer"),
                         number(r + "staleBuildPrice"), number(r + "damagePrice")),
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -424,17 +424,8 @@
             return;
         }
         counts.tried(h.asked.route());
-        sent.exchange = pools.start(s.machine(), upstream(h, sent), h.asked.toHead(), new Exchange.Heard() {
-            @Override
-            public void ended(Outcome outcome, Came came) {
-                Front.this.ended(h, sent, outcome, came);
-            }
-
-            @Override
-            public void begun() {
-                events.add(new Event.AnswerBegun(h.id, sent.no));
-            }
-        });
+        sent.exchange = pools.start(s.machine(), upstream(h, sent), h.asked.toHead(),
+                (outcome, came) -> ended(h, sent, outcome, came));
         long limit = s.within() == 0 ? h.leaves : Math.min(h.leaves, loop.now() + Math.max(0, s.within()));
         sent.limit = loop.at(limit, () -> ended(h, sent, sent.exchange.end(Outcome.TIMEOUT), null));
     }
--- a/src/main/java/laurelkeel/front/FrontSettings.java
+++ b/src/main/java/laurelkeel/front/FrontSettings.java
@@ -146,7 +146,7 @@
 
     private static Settings.Allowed allowed(Section s, boolean asked) {
         return new Settings.Allowed(s.small("tries", "4", 1, 100), s.on("probes", "yes"), s.on("notes", "yes"),
-                s.on("stops", "yes"), s.on("copies", "no"), s.on("retry-after", "yes"),
+                s.on("stops", "yes"), s.on("retry-after", "yes"),
                 s.time("longest-retry-after", "1 s", "0 ms", "1 h"), asked);
     }
 
--- a/src/main/java/laurelkeel/front/upstream/Exchange.java
+++ b/src/main/java/laurelkeel/front/upstream/Exchange.java
@@ -10,9 +10,6 @@
     public interface Heard {
         /** came is null unless an answer came whole. */
         void ended(Outcome outcome, Came came);
-
-        /** The answer's headers are here, its body is not. */
-        default void begun() { }
     }
 
     final Pool pool;
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -271,8 +271,6 @@
                     session.closeNow();
                 } else if (read instanceof Came came) {
                     answered(c, came);
-                } else if (message instanceof HttpCodec.AnswerStart && c.current != null) {
-                    c.current.heard.begun();
                 } else if (message instanceof BadHttp b) {
                     // a front without room for an answer gave it up; that is no error of the machine's build
                     unreadable(c, b.status() == 503 ? Outcome.STOPPED : Outcome.ERROR);
--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -13,15 +13,11 @@
 import org.apache.mina.filter.codec.ProtocolEncoderOutput;
 
 /**
- * The parser and the writer as a filter of MINA's chain. Handlers receive HttpReq or HttpAnswer; AnswerStart where
- * an answer's headers came ahead of its body; BadHttp once where the input cannot be read on, after which the rest
- * of the connection is passed over.
+ * The parser and the writer as a filter of MINA's chain. Handlers receive HttpReq or HttpAnswer, or BadHttp once where
+ * the input cannot be read on, after which the rest of the connection is passed over.
  */
 public final class HttpCodec implements ProtocolCodecFactory {
 
-    /** The headers of an answer are here, its body is not yet. */
-    public record AnswerStart() { }
-
     /** Bytes as they are, for peers that misbehave on purpose. */
     public record Raw(byte[] bytes) { }
 
@@ -84,7 +80,7 @@
 
     private static final class Reader implements ProtocolDecoder {
         private final HttpParser parser;
-        private boolean broken, startTold;
+        private boolean broken;
 
         Reader(HttpParser parser) {
             this.parser = parser;
@@ -108,16 +104,11 @@
                     if (whole != null) {
                         out.write(whole);
                         inBody = false;
-                        startTold = false;
                     }
                 }
                 if (parser.wantsContinue() && !inBody) {
                     session.write(new Raw(CONTINUE));
                 }
-                if (parser.inBody() && !startTold) {
-                    startTold = true;
-                    out.write(new AnswerStart());
-                }
             } catch (BadHttp e) {
                 broken = true;
                 parser.close();
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -179,6 +179,61 @@
         assertTrue(play.votes.stream().anyMatch(v -> v.verdict() == Verdict.BACK), play.votes.toString());
     }
 
+    @Test
+    void aBuildThatAnswersWronglyIsVotedBackByComplaintsAlone() {
+        assertTrue(complained(0.25).contains(Verdict.BACK));
+        assertFalse(complained(0).contains(Verdict.BACK), "as many complaints of both builds");
+    }
+
+    /** Verdicts where so many of the trial build's answers, and 2% of all, are complained of. */
+    private static List<Verdict> complained(double wrong) {
+        Play play = RulesTest.trial(9, 0.5, 0);
+        Random chance = new Random(9);
+        for (int i = 0; i < 400; i++) {
+            play.now += 20 * Play.MS;
+            Play.Sent s = play.outOf(play.req(0, "k" + i));
+            play.now += 5 * Play.MS;
+            play.ends(s, Outcome.COMPLETED);
+            if (chance.nextDouble() < 0.02 + (s.build() == 2 ? wrong : 0)) {
+                play.step(List.of(new Event.Complaint(s.machine(), play.now - s.at(), 0)));
+            }
+        }
+        return play.votes.stream().map(Action.Vote::verdict).toList();
+    }
+
+    @Test
+    void aBuildThatIsSlowByItselfIsVotedBackAndOneAmongAllSlowIsToo() {
+        assertTrue(slowed(3000, 1000).contains(Verdict.BACK), "slow beside the other");
+        assertTrue(slowed(2200, 2200).contains(Verdict.BACK), "all slow since it has traffic");
+        assertFalse(slowed(1000, 1000).contains(Verdict.BACK), "as before");
+    }
+
+    /** Verdicts where tries take 100 ms before the trial and so long in it, at the trial build and beside it. */
+    private static List<Verdict> slowed(long trial, long beside) {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.ANY), 6);
+        play.begin(4);
+        Random chance = new Random(6);
+        paced(play, 12 * Play.SECOND, 1000, 1000, chance);
+        for (int i = 0; i < 4; i++) {
+            play.lists(Play.machine("t" + i, 2, i % 2, MachineState.LIVE, 1));
+        }
+        play.tells(2, 1, 0.5, Phase.TRIAL);
+        paced(play, 18 * Play.SECOND, trial, beside, chance);
+        return play.votes.stream().map(Action.Vote::verdict).toList();
+    }
+
+    private static void paced(Play play, long span, long trial, long beside, Random chance) {
+        for (long end = play.now + span; play.now < end;) {
+            play.now += 20 * Play.MS;
+            for (Play.Sent s : List.copyOf(play.out)) {
+                if (play.now >= s.at() + (s.build() == 2 ? trial : beside) + chance.nextInt(200)) {
+                    play.ends(s, Outcome.COMPLETED);
+                }
+            }
+            play.req(0, "k" + chance.nextInt(400));
+        }
+    }
+
     @Test
     void aReqWhoseTrialTryFailedGoesToTheEarlierBuild() {
         Play play = RulesTest.trial(4, 0.5, 0);
--- a/src/test/java/laurelkeel/Play.java
+++ b/src/test/java/laurelkeel/Play.java
@@ -51,6 +51,8 @@
     final List<Action.Vote> votes = new ArrayList<>();
     final List<Action> answers = new ArrayList<>();
     Event.ReleaseNews news = new Event.ReleaseNews(Event.Answer.OK, 0, 1, 0, Phase.RELEASED, 1, false);
+    /** Draws the tries whose time-out is never told; null for none. */
+    Random silent;
     long now = SECOND;
     int ids;
 
@@ -69,7 +71,7 @@
                 new Route(Effect.DEDUPED, Group.ZONE, SECOND, 4 * SECOND, 3, 0.2, 2 * SECOND),
                 new Route(Effect.NON_RETRIABLE, Group.ALL, SECOND, 3 * SECOND, 1, 0, 0)), List.of(),
                 new Settings.Limits(SECOND, 5 * SECOND, 0.4, 2 * SECOND, 3, 10 * SECOND),
-                new Settings.Allowed(4, true, false, true, false, true, SECOND, false),
+                new Settings.Allowed(4, true, false, true, true, SECOND, false),
                 new Settings.Prices(0.05, 0.01, 0.01, 0.5, 3), new Settings.Rollout(control, 1, 1, 0, 5 * SECOND, SECOND,
                         40, List.of(0.1, 0.5, 1.0), 2 * SECOND, guarded, true, 4 * SECOND, 2, perRoute, 0, 0.3), false);
     }
@@ -326,7 +328,7 @@
         }
         check(5, r.key() == null || m.build() >= answeredBy.getOrDefault(r.key(), 0), "a one-way key went back");
         Sent sent = new Sent(s.req(), tries.get(s.req()).size(), s.machine(), m.build(), m.zone(), now,
-                now + Math.min(s.within(), r.clientLeaves() - now));
+                silent != null && silent.nextInt(10) == 0 ? Long.MAX_VALUE : now + Math.min(s.within(), r.clientLeaves() - now));
         tries.get(s.req()).add(sent);
         out.add(sent);
         all.add(sent);
--- a/src/test/java/laurelkeel/RulesTest.java
+++ b/src/test/java/laurelkeel/RulesTest.java
@@ -33,6 +33,7 @@
         Random chance = new Random(seed);
         Settings set = Play.settings(chance.nextBoolean(), chance.nextInt(3), Settings.Control.ANY);
         Play play = new Play(set, lanes ? new Lanes(set, seed, Shifter::new) : new Shifter(set, seed));
+        play.silent = new Random(seed);
         play.begin(6);
         Line line = new Line(play, lanes ? 3 : 1, chance);
         for (int i = 0; i < 1200; i++) {
--- a/src/test/java/laurelkeel/lanes/LanesTest.java
+++ b/src/test/java/laurelkeel/lanes/LanesTest.java
@@ -38,7 +38,7 @@
         return new Settings(0, 2, 0, List.of(new Settings.Route(Effect.RETRIABLE, Group.ALL, 800 * MS, 2500 * MS, 2, 0, 0),
                 new Settings.Route(Effect.NON_RETRIABLE, Group.ALL, SECOND, 3 * SECOND, 1, 0, 0)), List.of(),
                 new Settings.Limits(SECOND, 5 * SECOND, 0.4, 2 * SECOND, 3, 10 * SECOND),
-                new Settings.Allowed(4, true, false, true, false, true, SECOND, false),
+                new Settings.Allowed(4, true, false, true, true, SECOND, false),
                 new Settings.Prices(0, 0.01, 0.01, 0.5, 3), new Settings.Rollout(Settings.Control.COUNT, 1, 1, 0,
                         5 * SECOND, SECOND, 40, List.of(0.1, 0.4, 1.0), 2 * SECOND, guarded, true, WINDOW, FREE,
                         perRoute, 0, 0.3), false);
