Keys of any letters are cut evenly; a shed without a key makes no key a repeat

A shed or error of a req without a key was kept under the key "null", so that reqs whose key is that word counted as repeats. At fault: Shifter.fractionOf and settle, Lanes.fraction.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -443,7 +443,7 @@
 
     private static double fractionOf(String key, int build) {
         CRC32 crc = new CRC32();
-        crc.update((build + "/" + key).getBytes(StandardCharsets.US_ASCII));
+        crc.update((build + "/" + key).getBytes(StandardCharsets.UTF_8));
         // CRC32 is linear: without this mixing one build's slice of keys would decide the next one's
         long h = (crc.getValue() ^ (long) build << 32) * 0x9E3779B97F4A7C15L;
         h = (h ^ h >>> 32) * 0xD6E8FEB86659FD93L;
@@ -1062,7 +1062,9 @@
             out.add(shedAllowed(rq) ? new Action.Shed(rq.is.id(), set.allowed().longestRetryAfter())
                     : new Action.Err(rq.is.id()));
             rq.ended = true;
-            given.put(String.valueOf(rq.is.key()), now);
+            if (rq.is.key() != null) {
+                given.put(rq.is.key(), now);
+            }
         }
         if (rq.ended && rq.out != null && !rq.stopped && set.allowed().stops()) {
             rq.stopped = true;
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -227,7 +227,7 @@
         CRC32 crc = new CRC32();
         // a word of its own before the key: no release's slice of keys decides the lane
         crc.update("lane of ".getBytes(StandardCharsets.US_ASCII));
-        crc.update(key.getBytes(StandardCharsets.US_ASCII));
+        crc.update(key.getBytes(StandardCharsets.UTF_8));
         return mixed(crc.getValue());
     }
 
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -234,6 +234,19 @@
         }
     }
 
+    @Test
+    void keysOfAnyLettersAreCutEvenly() {
+        Play play = RulesTest.trial(4, 0.5, 0);
+        int went = 0;
+        for (int i = 0; i < 200; i++) {
+            play.now += 20 * Play.MS;
+            Play.Sent s = play.outOf(play.req(0, "" + (char) ('à' + i % 20) + (char) ('à' + i / 20)));
+            went += s.build() == 2 ? 1 : 0;
+            play.ends(s, Outcome.COMPLETED);
+        }
+        assertTrue(went > 40 && went < 120, "to the trial build " + went);
+    }
+
     @Test
     void aReqWhoseTrialTryFailedGoesToTheEarlierBuild() {
         Play play = RulesTest.trial(4, 0.5, 0);
