--- a/src/test/java/laurelkeel/front/NewsTest.java
+++ b/src/test/java/laurelkeel/front/NewsTest.java
@@ -240,6 +240,15 @@
         }
     }
 
+    @Test
+    void aWatchThatGoesSilentIsOpenedAnew() throws Exception {
+        try (Peers p = new Peers(folder, sources("push"), (x, e) -> List.of())) {
+            // each says one beat and nothing more
+            Rig.await("the list is asked again", () -> asked.stream().filter(a -> a.startsWith("/list/watch")).count() > 1);
+            Rig.await("the release line too", () -> asked.stream().filter(a -> a.startsWith("/release/watch")).count() > 1);
+        }
+    }
+
     @Test
     void aLineWithoutAnEndIsCutOff() throws Exception {
         byte[] much = "x".repeat(1 << 20).getBytes(StandardCharsets.US_ASCII);
