One ask for bodies with a time, one list entry in tests; the recorder writes its count plainly

Seen on reading the whole change once more: the list's fetch and the vote each timed their body with the same lines; Recorder took its buffer apart and counted back to put the line of lost records ahead of it; three tests wrote the same list entry and three of the lanes began with the same two releases; two imports and a line out of order. Change: Lined.ask, Recorder.line and write, Peers.listed, LanesTest.twoOnTrial. No behaviour and no assertion differs. Left: the three places that make MINA's processors on the front's threads (two lines each), the gone-check that Ingress.answer and pass both hold, and the phases that ReleaseLine names as words beside the enum that Told reads them into.

--- a/src/main/java/laurelkeel/bench/Relay.java
+++ b/src/main/java/laurelkeel/bench/Relay.java
@@ -47,7 +47,8 @@
         acceptor.getSessionConfig().setTcpNoDelay(true);
         acceptor.getFilterChain().addLast("http", HttpCodec.server(HttpLimits.USUAL));
         acceptor.setHandler(new Clients());
-        new Admin(Executors.newCachedThreadPool(), new InetSocketAddress("127.0.0.1", admin), () -> "ok", () -> String.format(Locale.ROOT,
+        new Admin(Executors.newCachedThreadPool(), new InetSocketAddress("127.0.0.1", admin), () -> "ok",
+                () -> String.format(Locale.ROOT,
                 "laurelkeel_process_cpu_seconds %f%nlaurelkeel_allocated_bytes %f%nlaurelkeel_heap_bytes %f%n",
                 Jvm.cpuSeconds(), Jvm.allocatedBytes(), Jvm.heapBytes())).start();
         acceptor.bind(new InetSocketAddress("127.0.0.1", listen));
--- a/src/main/java/laurelkeel/front/news/Lined.java
+++ b/src/main/java/laurelkeel/front/news/Lined.java
@@ -1,6 +1,8 @@
 package laurelkeel.front.news;
 
 import java.io.ByteArrayOutputStream;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Flow;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -34,9 +39,14 @@
         return new Lined(each, then);
     }
 
-    /** The whole body as text. */
-    static Lined whole() {
-        return new Lined(null, Runnable::run);
+    /** Asks for a whole body as text, in so many milliseconds; past them the answer is cancelled. */
+    static CompletableFuture<HttpResponse<String>> ask(HttpClient http, HttpRequest ask, ScheduledExecutorService timer,
+            long ms) {
+        CompletableFuture<HttpResponse<String>> answer = http.sendAsync(ask, i -> new Lined(null, Runnable::run));
+        // the time set in a request ends with the headers: a body may come for ever
+        ScheduledFuture<?> limit = timer.schedule(() -> answer.cancel(true), ms, TimeUnit.MILLISECONDS);
+        answer.whenComplete((r, failure) -> limit.cancel(false));
+        return answer;
     }
 
     @Override
--- a/src/main/java/laurelkeel/front/news/ListSource.java
+++ b/src/main/java/laurelkeel/front/news/ListSource.java
@@ -5,9 +5,7 @@
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import laurelkeel.loop.Loop;
@@ -107,11 +105,7 @@
         }
         HttpRequest ask = HttpRequest.newBuilder(URI.create(base + "/list"))
                 .timeout(Duration.ofMillis(Watch.SILENCE_MS)).GET().build();
-        CompletableFuture<HttpResponse<String>> answer = http.sendAsync(ask, i -> Lined.whole());
-        // the time set above ends with the headers: a body may come for ever
-        var limit = timer.schedule(() -> answer.cancel(true), 2 * Watch.SILENCE_MS, TimeUnit.MILLISECONDS);
-        answer.whenComplete((r, failure) -> {
-            limit.cancel(false);
+        Lined.ask(http, ask, timer, 2 * Watch.SILENCE_MS).whenComplete((r, failure) -> {
             synchronized (this) {
                 fetching = false;
             }
--- a/src/main/java/laurelkeel/front/news/ReleaseSource.java
+++ b/src/main/java/laurelkeel/front/news/ReleaseSource.java
@@ -9,7 +9,6 @@
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -113,11 +112,7 @@
         } catch (JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
-        CompletableFuture<HttpResponse<String>> sent = http.sendAsync(ask, i -> Lined.whole());
-        // the time set above ends with the headers: a body may come for ever
-        var limit = timer.schedule(() -> sent.cancel(true), timeoutMs, TimeUnit.MILLISECONDS);
-        sent.whenComplete((r, failure) -> {
-            limit.cancel(false);
+        Lined.ask(http, ask, timer, timeoutMs).whenComplete((r, failure) -> {
             long arrived = loop.clock();
             Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
             boolean late = cause instanceof HttpTimeoutException || cause instanceof CancellationException;
--- a/src/main/java/laurelkeel/records/Recorder.java
+++ b/src/main/java/laurelkeel/records/Recorder.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -53,37 +54,35 @@
 
     /** Never fails its caller: what a full disk does not take is counted, and told in the file once there is room. */
     public synchronized void record(Rec r) {
-        add(r);
+        lines.writeBytes(line(r));
+        waiting++;
         if (eachAtOnce || lines.size() >= BUFFER) {
             flush();
         }
     }
 
-    private void add(Rec r) {
+    private static byte[] line(Rec r) {
         try {
-            lines.write(JSON.writeValueAsBytes(r));
-            lines.write('\n');
-            waiting++;
-        } catch (IOException e) {
+            return (JSON.writeValueAsString(r) + '\n').getBytes(StandardCharsets.UTF_8);
+        } catch (JsonProcessingException e) {
             throw new UncheckedIOException("a record is none", e);
         }
     }
 
-    private void flush() {
-        if (lostUntold > 0) {
-            ByteArrayOutputStream kept = new ByteArrayOutputStream();
-            kept.writeBytes(lines.toByteArray());
-            lines.reset();
-            add(new Rec.Lost(now(), lostUntold));
-            waiting--;
-            lines.writeBytes(kept.toByteArray());
+    private void write(byte[] bytes) throws IOException {
+        for (ByteBuffer left = ByteBuffer.wrap(bytes); left.hasRemaining();) {
+            out.write(left);
         }
+    }
+
+    private void flush() {
         long before = -1;
         try {
             before = out.size();
-            for (ByteBuffer left = ByteBuffer.wrap(lines.toByteArray()); left.hasRemaining();) {
-                out.write(left);
+            if (lostUntold > 0) {
+                write(line(new Rec.Lost(now(), lostUntold)));
             }
+            write(lines.toByteArray());
             lostUntold = 0;
         } catch (IOException e) {
             lost += waiting;
--- a/src/test/java/laurelkeel/front/Child.java
+++ b/src/test/java/laurelkeel/front/Child.java
@@ -38,8 +38,7 @@
         t.start();
         Path file = folder.resolve("child.ini");
         Files.createDirectories(folder.resolve("state"));
-        Files.writeString(folder.resolve("state/list.json"), "[{\"machine\":\"127.0.0.1:" + machine.getLocalPort()
-                + "\",\"build\":1,\"zone\":\"here\",\"cell\":0,\"kind\":0,\"size\":1,\"state\":\"live\",\"run\":1,\"ageMs\":-1}]");
+        Files.writeString(folder.resolve("state/list.json"), "[" + Peers.listed(machineId(), "live") + "]");
         Files.writeString(file, "[front]\nnumber = 0\nfronts = 1\nlisten = 127.0.0.1:" + port + "\nadmin = 127.0.0.1:"
                 + admin + "\nrecords = child.jsonl\n" + """
                 [route look]
--- a/src/test/java/laurelkeel/front/FrontRulesTest.java
+++ b/src/test/java/laurelkeel/front/FrontRulesTest.java
@@ -52,8 +52,7 @@
                 machines.add(m);
                 int number = i;
                 start(() -> accept(m, number));
-                list.append(i == 0 ? "[" : ",").append("{\"machine\":\"127.0.0.1:").append(m.getLocalPort())
-                        .append("\",\"build\":1,\"zone\":\"here\",\"cell\":0,\"kind\":0,\"size\":1,\"state\":\"live\",\"run\":1,\"ageMs\":-1}");
+                list.append(i == 0 ? "[" : ",").append(Peers.listed("127.0.0.1:" + m.getLocalPort(), "live"));
             }
             Files.createDirectories(folder.resolve("state"));
             Files.writeString(folder.resolve("state/list.json"), list + "]");
--- a/src/test/java/laurelkeel/front/Peers.java
+++ b/src/test/java/laurelkeel/front/Peers.java
@@ -115,6 +115,12 @@
         s.getOutputStream().flush();
     }
 
+    /** A machine of build 1 as a list has it. */
+    static String listed(String machine, String state) {
+        return "{\"machine\":\"" + machine + "\",\"build\":1,\"zone\":\"here\",\"cell\":0,\"kind\":0,\"size\":1,\"state\":\""
+                + state + "\",\"run\":1,\"ageMs\":-1}";
+    }
+
     static String look(String more) {
         return "GET /look HTTP/1.1\r\nHost: f\r\n" + more + "\r\n";
     }
--- a/src/test/java/laurelkeel/front/ScarceTest.java
+++ b/src/test/java/laurelkeel/front/ScarceTest.java
@@ -122,11 +122,10 @@
     }
 
     private static String listed(int version, String first, int others, String state) {
-        StringBuilder s = new StringBuilder("{\"kind\":\"full\",\"version\":" + version + ",\"machines\":[{\"machine\":\""
-                + first + "\",\"build\":1,\"zone\":\"here\",\"size\":1,\"state\":\"live\",\"run\":1,\"ageMs\":-1}");
+        StringBuilder s = new StringBuilder("{\"kind\":\"full\",\"version\":" + version + ",\"machines\":["
+                + Peers.listed(first, "live"));
         for (int i = 0; i < others; i++) {
-            s.append(",{\"machine\":\"127.0.0.1:").append(i + 1).append("\",\"build\":1,\"zone\":\"here\",\"size\":1,\"state\":\"")
-                    .append(state).append("\",\"run\":1,\"ageMs\":-1}");
+            s.append(',').append(Peers.listed("127.0.0.1:" + (i + 1), state));
         }
         return s.append("]}").toString();
     }
--- a/src/test/java/laurelkeel/lanes/LanesTest.java
+++ b/src/test/java/laurelkeel/lanes/LanesTest.java
@@ -241,6 +241,15 @@
         return w;
     }
 
+    private static World twoOnTrial(long seed) {
+        World w = begun(false, 0, seed);
+        w.machines(2, 2);
+        w.machines(3, 2);
+        w.tells(2, 0, Phase.TRIAL);
+        w.tells(3, 0, Phase.TRIAL);
+        return w;
+    }
+
     @Test
     void withOneReleaseAllActionsAreThoseOfTheDeciderAlone() {
         for (int seed : new int[] {100, 103, 106, 109}) {
@@ -323,11 +332,7 @@
 
     @Test
     void aBadReleaseIsVotedBackInItsOwnLaneAndTheOtherGoesOn() {
-        World w = begun(false, 0, 5);
-        w.machines(2, 2);
-        w.machines(3, 2);
-        w.tells(2, 0, Phase.TRIAL);
-        w.tells(3, 0, Phase.TRIAL);
+        World w = twoOnTrial(5);
         w.traffic(15 * SECOND, 5, 0.5);
         assertTrue(w.votes.stream().anyMatch(v -> v.build() == 2 && v.verdict() == Verdict.BACK), w.votes.toString());
         assertTrue(w.votes.stream().noneMatch(v -> v.build() == 3 && v.verdict() == Verdict.BACK), w.votes.toString());
@@ -336,11 +341,7 @@
 
     @Test
     void whileBlameIsOpenNobodyGoesOnAndTheGuiltyIsVotedBack() {
-        World w = begun(false, 0, 6);
-        w.machines(2, 2);
-        w.machines(3, 2);
-        w.tells(2, 0, Phase.TRIAL);
-        w.tells(3, 0, Phase.TRIAL);
+        World w = twoOnTrial(6);
         w.lanes.blame(2, Lanes.Blame.OPEN);
         w.lanes.blame(3, Lanes.Blame.OPEN);
         w.traffic(15 * SECOND, 5, 0);
@@ -419,11 +420,7 @@
 
     @Test
     void whileBlameFallsOnAnotherAVoteToSendBackWaits() {
-        World w = begun(false, 0, 8);
-        w.machines(2, 2);
-        w.machines(3, 2);
-        w.tells(2, 0, Phase.TRIAL);
-        w.tells(3, 0, Phase.TRIAL);
+        World w = twoOnTrial(8);
         w.lanes.blame(3, Lanes.Blame.GUILTY);
         w.traffic(10 * SECOND, 5, 0.5);
         assertTrue(w.votes.stream().noneMatch(v -> v.build() == 2), "its errors may be the guilty one's: " + w.votes);
