--- a/src/main/java/laurelkeel/front/ingress/ClientConn.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConn.java
@@ -21,7 +21,11 @@
     final AtomicInteger posted = new AtomicInteger();
     /** Set as it opens, by the thread that has it. */
     boolean turnedAway;
-    boolean busy, gone, lastSaid, toHead, asked;
+    volatile boolean busy, lastSaid;
+    boolean gone, toHead;
+    /** A whole req has come, or what was none; set by the thread that has the connection, as counted is. */
+    volatile boolean asked;
+    boolean counted = true;
     /** When it opened, or its last answer was handed over. */
     volatile long restsSince;
     Object current;
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -101,15 +101,15 @@
         loop.at(now + SWEEP, this::sweep);
     }
 
-    /** All places are taken: silent connections that never asked give theirs first, then those idle longest. */
-    private void makeRoom() {
-        if (connections.get() <= set.connections()) {
-            return;
-        }
+    /**
+     * All places are taken: silent connections that never asked give theirs first, the oldest of them, then those
+     * idle longest. By the thread that opens one, or a burst would be over before room is made.
+     */
+    private void makeRoom(ClientConn newest) {
         ClientConn first = null;
         for (IoSession s : acceptor.getManagedSessions().values()) {
-            if (s.getAttribute(CONN) instanceof ClientConn c && !c.busy && !c.lastSaid && !s.isClosing()
-                    && (!c.asked || HttpCodec.halfSince(s) == 0 && loop.now() - c.restsSince > set.keep())
+            if (s.getAttribute(CONN) instanceof ClientConn c && c != newest && !c.busy && !c.lastSaid && !s.isClosing()
+                    && (!c.asked || HttpCodec.halfSince(s) == 0 && loop.clock() - c.restsSince > set.keep())
                     && (first == null || !c.asked && first.asked
                     || c.asked == first.asked && c.restsSince < first.restsSince)) {
                 first = c;
@@ -117,6 +117,8 @@
         }
         if (first != null) {
             first.session.closeNow();
+            connections.decrementAndGet();
+            first.counted = false;
         }
     }
 
@@ -172,11 +174,10 @@
             ClientConn conn = new ClientConn(session);
             conn.restsSince = loop.clock();
             session.setAttribute(CONN, conn);
-            int open = connections.incrementAndGet();
-            if (open > set.connections() && set.keep() > 0) {
-                loop.post(Ingress.this::makeRoom);
+            if (connections.incrementAndGet() > set.connections() && set.keep() > 0) {
+                makeRoom(conn);
             }
-            if (open > set.connections() + (set.keep() > 0 ? set.connections() / SPARE : 0)) {
+            if (connections.get() > set.connections() + (set.keep() > 0 ? set.connections() / SPARE : 0)) {
                 // told at once that nothing was taken, so nothing that it sent meanwhile may be
                 conn.turnedAway = true;
                 refused.incrementAndGet();
@@ -192,6 +193,7 @@
             if (conn.turnedAway && message instanceof HttpReq http) {
                 room.give(http.body().length);
             } else if (message instanceof HttpReq || message instanceof BadHttp) {
+                conn.asked = true;
                 // counted here, not by the loop: while that is held up, a client that pours must wait too
                 if (conn.posted.incrementAndGet() >= set.pipelined()) {
                     session.suspendRead();
@@ -232,8 +234,10 @@
 
         @Override
         public void sessionClosed(IoSession session) {
-            connections.decrementAndGet();
             ClientConn conn = (ClientConn) session.getAttribute(CONN);
+            if (conn.counted) {
+                connections.decrementAndGet();
+            }
             loop.post(() -> {
                 conn.gone = true;
                 empty(conn);
@@ -279,7 +283,6 @@
             drop(message);
             return;
         }
-        conn.asked = true;
         conn.waiting.add(new ClientConn.Waiting(message, arrived));
         next(conn);
     }
--- a/src/main/java/laurelkeel/platform/Addresses.java
+++ b/src/main/java/laurelkeel/platform/Addresses.java
@@ -22,7 +22,7 @@
                 ip[i] = (byte) n;
             }
             int port = Integer.parseInt(s.substring(colon + 1));
-            return parts.length != 4 || port < 1 || port > 65535 ? null
+            return parts.length != 4 || port < 0 || port > 65535 ? null
                     : new InetSocketAddress(InetAddress.getByAddress(ip), port);
         } catch (NumberFormatException | ArrayIndexOutOfBoundsException | UnknownHostException e) {
             return null;
--- a/src/main/java/laurelkeel/platform/Node.java
+++ b/src/main/java/laurelkeel/platform/Node.java
@@ -81,8 +81,17 @@
         return new Front(set, door(config), machineSide(config), base, maker.make(set, config.seed()), node);
     }
 
+    private static int clientConnections(int sockets) {
+        return Math.max(8, (int) ((sockets - OWN_SOCKETS) * CLIENTS));
+    }
+
+    /** What may be open to all machines where a process may hold so many descriptors. */
+    static int machineConnections(int sockets) {
+        return Math.max(8, sockets - OWN_SOCKETS - clientConnections(sockets) * 5 / 4);
+    }
+
     private static IngressSettings door(Config c) {
-        int open = Math.max(8, (int) ((c.sockets() - OWN_SOCKETS) * CLIENTS));
+        int open = clientConnections(c.sockets());
         int held = c.real().mostOpen() > 0 ? Math.min(c.real().mostOpen(), open * 2) : open * 2;
         long longest = c.settings().routes().stream().mapToLong(Settings.Route::timeout).max().orElse(0);
         return new IngressSettings(c.listen(), new HttpLimits(2 << 10, 8 << 10, 64, BODY), open, held, 8192, 4, 600_000,
@@ -90,8 +99,7 @@
     }
 
     private static UpstreamSettings machineSide(Config c) {
-        int clients = Math.max(8, (int) ((c.sockets() - OWN_SOCKETS) * CLIENTS)) * 5 / 4;
-        int most = Math.max(8, c.sockets() - OWN_SOCKETS - clients);
+        int most = machineConnections(c.sockets());
         long idle = c.real().idleClose() > 0 ? c.real().idleClose() : 100_000;
         return new UpstreamSettings(new HttpLimits(1 << 10, 8 << 10, 64, BODY), most, most, 1024,
                 c.real().dialTimeout() > 0 ? c.real().dialTimeout() : 2_500, Math.max(idle / 2, idle - IDLE_SOONER), 1,
--- a/src/main/java/laurelkeel/wire/HttpParser.java
+++ b/src/main/java/laurelkeel/wire/HttpParser.java
@@ -172,12 +172,18 @@
         bodyLength += n;
     }
 
-    /** One line without its end, or null until it is whole. A bare LF ends a line too (RFC 9112, 2.2). */
+    /**
+     * One line without its end, or null until it is whole. In answers a bare LF ends a line too (RFC 9112, 2.2); in
+     * requests it does not: a reader behind us may not think so, and see another request there.
+     */
     private String line(ByteBuffer in) throws BadHttp {
         int most = at == At.START ? limits.line() : at == At.CHUNK_SIZE ? 256 : limits.headerBytes();
         while (in.hasRemaining()) {
             byte b = in.get();
             if (b == '\n') {
+                if (!sawCr && side == Side.REQS) {
+                    throw new BadHttp(400, "a LF without CR");
+                }
                 String text = new String(line, 0, lineLength, StandardCharsets.ISO_8859_1);
                 lineLength = 0;
                 sawCr = false;
--- /dev/null
+++ b/src/test/java/laurelkeel/platform/SourcesTest.java
@@ -0,0 +1,261 @@
+package laurelkeel.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.Socket;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import laurelkeel.api.Action;
+import laurelkeel.api.Action.Verdict;
+import laurelkeel.api.Event;
+import laurelkeel.api.Event.Answer;
+import laurelkeel.api.Event.ListKind;
+import laurelkeel.api.Event.MachineState;
+import laurelkeel.api.Event.Phase;
+import laurelkeel.options.Options;
+import org.junit.jupiter.api.Test;
+
+/** Discovery, the release desk, the configuration and the signals' work. */
+class SourcesTest {
+
+    @Test
+    void theListComesInAnyPiecesAndAWatchThatEndsIsResumed() throws Exception {
+        try (Stage p = new Stage(Stage::nothing)) {
+            Event.MachineList known = p.event(Event.MachineList.class, 1);
+            assertEquals(ListKind.REMEMBERED, known.kind());
+            assertEquals(new Event.Listed("s-1", 1, 1, 3, 1, 1.5, MachineState.LIVE, 0), known.machines().get(0));
+            Socket w = p.discovery.call();
+            assertTrue(Stage.hear(w).startsWith("GET /v1/servers?watch=1&after=1 HTTP/1.1\r\n"));
+            String all = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Stage.chunk(Stage.list(3, false, p.entry("leaving", 1, p.machine)) + "\n\n")
+                    + Stage.chunk(Stage.list(2, false, p.entry("active", 1, p.machine)) + "\n");
+            for (char c : all.toCharArray()) {
+                Stage.say(w, String.valueOf(c));
+            }
+            assertEquals(MachineState.DRAINING, p.event(Event.MachineList.class, 2).machines().get(0).state());
+            w.close();
+            w = p.discovery.call();
+            assertTrue(Stage.hear(w).startsWith("GET /v1/servers?watch=1&after=3 HTTP/1.1\r\n"));
+            // an older version is never gone back to, but a whole list stands whatever its version
+            Stage.say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Stage.chunk(Stage.list(1, true) + "\n"));
+            assertEquals(ListKind.FULL, p.event(Event.MachineList.class, 3).kind());
+            Stage.say(w, Stage.chunk("{\"noise\":1}\n"));
+            Stage.hear(p.discovery.call());
+            assertEquals(3, p.all(Event.MachineList.class).size());
+        }
+    }
+
+    @Test
+    void anIdThatReturnsWithAnotherBuildGetsNoOldConnection() throws Exception {
+        try (Stage p = new Stage(Stage::once)) {
+            Socket w = p.watch(Stage.list(2, false, p.entry("active", 1, p.machine)));
+            p.event(Event.MachineList.class, 2);
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Socket m = p.machine.call();
+            Stage.hear(m);
+            Stage.say(m, Stage.ok("old"));
+            Stage.hear(c);
+            Stage.say(w, Stage.chunk(Stage.list(3, false, p.entry("active", 2, p.machine)) + "\n"));
+            p.event(Event.MachineList.class, 3);
+            assertTrue(Stage.hear(m).contains("<end>"));
+            Stage.say(c, Stage.look("2", ""));
+            Stage.hear(p.machine.call());
+        }
+    }
+
+    @Test
+    void theDesksNewsAndWhatCannotBeRead() throws Exception {
+        try (Stage p = new Stage(Stage::nothing)) {
+            assertEquals(Phase.RELEASED, p.event(Event.ReleaseNews.class, 1).phase());
+            Socket d = p.desk.call();
+            assertEquals("SUB", Stage.lines(d).readLine());
+            Stage.say(d, "OK\r\n*\r\n* metrics 42 pay 57 2 18.5 900\r\n* progress 42 1 Progr");
+            Event.BuildCounts counts = p.event(Event.BuildCounts.class, 1);
+            assertEquals(List.of(42, 1, 57L, 2L, 185L),
+                    List.of(counts.build(), counts.route(), counts.tries(), counts.errors(), counts.meanTime()));
+            Stage.say(d, "essing 0.28 310\r\n");
+            Event.ReleaseNews n = p.event(Event.ReleaseNews.class, 2);
+            assertEquals(List.of(42, 1, 0.28, Phase.TRIAL), List.of(n.build(), n.stage(), n.cap(), n.phase()));
+            for (String spoilt : List.of("* progress 42 1 Progressing 0.2", "* progress 42 x Progressing 0.28 1",
+                    "* progress 42 1 Nothing 0.28 1", "\1\2", "* progress 42 1 Progressing 7 1")) {
+                Stage.say(d, spoilt + "\r\n");
+                d = p.desk.call();
+                Stage.lines(d).readLine();
+            }
+            Stage.say(d, "OK\r\n* progress 42 2 Progressing 0.5 1\r\n");
+            assertEquals(2, p.event(Event.ReleaseNews.class, 3).stage());
+            assertEquals(3, p.all(Event.ReleaseNews.class).size());
+        }
+    }
+
+    /** Votes 42 at the first req, 43 at the second, and so on. */
+    private static List<Action> voter(Stage p, Event e) {
+        return e instanceof Event.Req r ? List.of(new Action.Vote(41 + p.all(Event.Req.class).size(), 1, Verdict.BACK),
+                new Action.Shed(r.id(), 0)) : List.of();
+    }
+
+    private static Event.ReleaseNews answered(Stage p, int count) {
+        Stage.await(count + " votes answered",
+                () -> p.all(Event.ReleaseNews.class).stream().filter(Event.ReleaseNews::toVote).count() >= count);
+        return p.all(Event.ReleaseNews.class).stream().filter(Event.ReleaseNews::toVote).toList().get(count - 1);
+    }
+
+    @Test
+    void aVotesLateAnswerIsNotTheNextOnes() throws Exception {
+        try (Stage p = new Stage(1024, 300, SourcesTest::voter)) {
+            p.desk.call();
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Socket v = p.desk.call();
+            assertEquals("SAY 42 1 reject", Stage.lines(v).readLine());
+            assertEquals(Answer.TIMEOUT, answered(p, 1).answer());
+            Stage.hear(c);
+            Stage.say(c, Stage.look("2", ""));
+            Socket next = p.desk.call();
+            assertEquals("SAY 43 1 reject", Stage.lines(next).readLine());
+            Stage.say(next, "ERR too_many_calls\r\n");
+            assertEquals(Answer.OVER_LIMIT, answered(p, 2).answer());
+            Stage.hear(c);
+            Stage.say(c, Stage.look("3", ""));
+            assertEquals("SAY 44 1 reject", Stage.lines(next).readLine());
+            Stage.say(next, "OK 44 1 Aborting 0.0 5\r\n");
+            assertEquals(Phase.GOING_BACK, answered(p, 3).phase());
+            Stage.hear(c);
+            Stage.say(c, Stage.look("4", ""));
+            Stage.lines(next).readLine();
+            Stage.say(next, "OK 45 no\r\n");
+            assertEquals(Answer.TIMEOUT, answered(p, 4).answer());
+            assertEquals(-1, next.getInputStream().read());
+        }
+    }
+
+    @Test
+    void aNewConfigurationMovesTheSourcesAndLosesNoReq() throws Exception {
+        try (Stage p = new Stage(Stage::once); Stage.Party disco = new Stage.Party(); Stage.Party desk = new Stage.Party()) {
+            Socket old = p.watch(Stage.list(2, false, p.entry("active", 1, p.machine)));
+            p.event(Event.MachineList.class, 2);
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Socket m = p.machine.call();
+            Stage.hear(m);
+            p.node[0].follow(p.config(disco, desk));
+            Socket w = disco.call();
+            assertTrue(Stage.hear(w).contains("after=2 "));
+            assertEquals("SUB", Stage.lines(desk.call()).readLine());
+            // until the new one has spoken the old one is heard
+            Stage.say(old, Stage.chunk(Stage.list(3, false, p.entry("active", 1, p.machine)) + "\n"));
+            p.event(Event.MachineList.class, 3);
+            Stage.say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Stage.chunk("\n"));
+            assertTrue(Stage.hear(old).contains("<end>"));
+            Stage.say(m, Stage.ok("held"));
+            assertTrue(Stage.hear(c).endsWith("held"));
+        }
+    }
+
+    @Test
+    void aNodeToldToStopTakesWhatStillComesAndAnswersAll() throws Exception {
+        try (Stage p = new Stage(Stage::once)) {
+            p.watch(Stage.list(2, true, p.entry("active", 1, p.machine)));
+            Socket d = p.desk.call();
+            Stage.say(d, "OK\r\n");
+            Socket h = p.client();
+            Stage.await("ready", () -> health(h).startsWith("HTTP/1.1 200 "));
+            Socket a = p.client(), idle = p.client();
+            Stage.say(a, Stage.look("1", ""));
+            Socket m1 = p.machine.call();
+            Stage.say(idle, Stage.look("0", ""));
+            Socket m0 = p.machine.call();
+            Stage.say(m0, Stage.ok("0"));
+            Stage.hear(idle);
+            p.front.drain();
+            Stage.await("unready", () -> health(h).startsWith("HTTP/1.1 503 "));
+            Socket b = p.client();
+            Stage.say(b, Stage.look("2", ""));
+            p.event(Event.Req.class, 3);
+            assertTrue(Stage.hear(idle).contains("<end>"), "idle connections end once nobody new is sent here");
+            Stage.say(m1, Stage.ok("one"));
+            String one = Stage.hear(a);
+            assertTrue(one.endsWith("one") && one.contains("Connection: close\r\n"), one);
+            // on the connection that served 0, or on one of its own
+            Socket m2 = p.machine.calls.isEmpty() ? m0 : p.machine.call();
+            Stage.say(m2, Stage.ok("two"));
+            assertTrue(Stage.hear(b).endsWith("two"));
+            assertEquals(null, p.front.ended().get(20, java.util.concurrent.TimeUnit.SECONDS));
+        }
+    }
+
+    private static String health(Socket s) {
+        try {
+            Stage.say(s, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+            return Stage.hear(s);
+        } catch (java.io.IOException e) {
+            return "";
+        }
+    }
+
+    @Test
+    void silentConnectionsNeverKeepClientsOut() throws Exception {
+        try (Stage p = new Stage(128, 5000, Stage::once)) {
+            for (int i = 0; i < 300; i++) {
+                p.client();
+            }
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Socket m = p.machine.call();
+            Stage.hear(m);
+            Stage.say(m, Stage.ok("served"));
+            assertTrue(Stage.hear(c).endsWith("served"));
+            Socket slow = p.client();
+            Stage.say(slow, "GET /look HTTP/1.1\r\nHo");
+            assertTrue(Stage.hear(slow).startsWith("HTTP/1.1 408 "));
+        }
+    }
+
+    @Test
+    void oneReaderGivesTheSameSettingsFromJsonAndFromTheWire() throws Exception {
+        var json = new ObjectMapper().readTree(Stage.SETTINGS.formatted(800));
+        Map<String, String> pairs = new TreeMap<>();
+        Config.flatten("", json, pairs);
+        assertEquals("2", pairs.get("services.count"));
+        assertEquals("0.1,0.5,1.0", pairs.get("familyInfo.stageCap"));
+        StringBuilder wire = new StringBuilder();
+        pairs.forEach((k, v) -> wire.append(k).append('=').append(v).append(' '));
+        Map<String, String> read = new HashMap<>();
+        for (String pair : wire.toString().strip().split(" ")) {
+            read.put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
+        }
+        assertEquals(Options.settings(read), Options.settings(pairs));
+        assertEquals(8_000, Options.settings(pairs).rollout().voteTimeout());
+        assertEquals(List.of("look", "pay"), Options.real(pairs).routes());
+    }
+
+    @Test
+    void aConfigurationThatLacksAFieldNamesIt() throws Exception {
+        try (Stage p = new Stage(Stage::nothing)) {
+            Config sound = p.config(p.discovery, p.desk);
+            assertFalse(sound.settings().routes().isEmpty());
+        }
+        String sound = "{\"name\":\"n\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"limits\":{\"sockets\":256},"
+                + "\"rollouts\":{\"address\":\"127.0.0.1:3\"},\"settings\":" + Stage.SETTINGS.formatted(800) + "}";
+        ObjectMapper json = new ObjectMapper();
+        Config.of(json.readTree(sound), Map.of());
+        for (String field : List.of("name", "listen", "discovery", "limits", "rollouts", "settings")) {
+            ObjectNode cut = (ObjectNode) json.readTree(sound);
+            cut.remove(field);
+            String told = assertThrows(BadConfig.class, () -> Config.of(cut, Map.of())).getMessage();
+            assertTrue(told.startsWith(field), told);
+        }
+        String told = assertThrows(BadConfig.class,
+                () -> Config.of(json.readTree(sound.replace("\"effect\":\"safe\"", "\"effect\":\"odd\"")), Map.of())).getMessage();
+        assertTrue(told.startsWith("settings.services.0.effect"), told);
+        assertThrows(BadConfig.class, () -> Config.read(java.nio.file.Path.of("no/such/file"), Map.of()));
+    }
+}
