Keys stay with a trial build whose answer was spoilt; a stop ends only connections left unread

Ingress.closeIdle looked at a connection on the loop while its socket thread had a req in hand; Ingress.begin shed what came after the listener closed. Change: BROKEN pins as COMPLETED does. A draining node suspends reading, looks again after 50 ms, closes what is idle and reads on else; reqs on connections still open are served as their last. makeRoom suspends before it closes.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -545,13 +545,16 @@
         }
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
-        if (t.outcome() == Outcome.COMPLETED) {
-            answeredNow++;
-            // by the build that answered: one not announced yet can leave the list before its answer comes
+        if (t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.BROKEN) {
+            // by the build that answered: one not announced yet can leave the list before its answer comes; an
+            // answer that could not be read was one all the same
             boolean ahead = was.to.build > base && !takenOff.contains(was.to.build);
             if (ahead && rq.is.key() != null && set.rollout().keysStay()) {
                 pins.merge(rq.is.key(), was.to.build, Math::max);
             }
+        }
+        if (t.outcome() == Outcome.COMPLETED) {
+            answeredNow++;
         } else {
             rq.keptOffTrial |= was.to.build == trial;
             rq.met = new HashSet<>(rq.met);
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -41,6 +41,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     private static final Logger DECIDER = LoggerFactory.getLogger("laurelkeel.decisions");
 
+    /** Set in the environment: every try that failed is logged, and each second what is held and open. */
+    private static final boolean TRACE = System.getenv("LAURELKEEL_TRACE") != null;
+
     private final Settings set;
     private final long drainMost, lameDuck, probeTimeout;
     private final Base base;
@@ -202,8 +205,9 @@
     }
 
     /**
-     * Ends: answers in their time the reqs held, and takes no new ones. Where the platform sends some for a while
-     * yet, they are taken for that while, the lame duck's; what comes later on connections already open is shed.
+     * Ends: answers in their time the reqs held, and takes no new ones. Where clients come for a while yet, the lame
+     * duck's, no connection ends in that while; after it idle ones do, and what still comes on others is served as
+     * their last.
      */
     public void drain() {
         loop.post(() -> {
@@ -223,16 +227,23 @@
     private void takeNoMore() {
         draining = true;
         base.timer().execute(ingress::unbind);
-        if (lameDuck > 0) {
-            ingress.closeIdle();
-        }
         long longest = set.routes().stream().mapToLong(Settings.Route::timeout).max().orElse(0);
         loop.at(loop.now() + Math.max(longest, drainMost), loop::stop);
+        if (lameDuck > 0) {
+            again();
+        }
         awaitDrained();
     }
 
+    /** Connections become idle without an answer that ends them, as after one that crossed with the end. */
+    private void again() {
+        ingress.closeIdle();
+        loop.at(loop.now() + 5_000, this::again);
+    }
+
     private void awaitDrained() {
-        if (held.values().stream().allMatch(h -> h.answered)) {
+        boolean left = lameDuck == 0 || ingress.connections() == 0;
+        if (left && held.values().stream().allMatch(h -> h.answered)) {
             // a moment for what is written to leave
             loop.at(loop.now() + 2_000, loop::stop);
         } else {
@@ -355,6 +366,10 @@
             s.limit.cancel();
         }
         outfit.tryEnded(s.machine, s.at, h.asked, outcome);
+        if (TRACE && outcome != Outcome.COMPLETED) {
+            LOG.info("trace {} key {} try {} at {}: {} after {} ms, answered {}", h.asked.id(), h.asked.key(), s.no,
+                    outfit.place(s.machine).key(), outcome, (loop.now() - s.at) / 10.0, h.answered);
+        }
         if (outcome == Outcome.COMPLETED && !h.answered) {
             outfit.completed(h.number, s.machine, s.at, h.asked);
             close(h, End.COMPLETED);
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -28,6 +28,8 @@
 /** The door: reads reqs off connections, hands each to the front when its turn has come, writes final answers. */
 public final class Ingress {
     private static final long SWEEP = 1_000;
+    /** What a socket thread had in hand has long come by then. */
+    private static final long SETTLE = 500;
     /** Connections that may come, as a share of all, while others make room for them. */
     private static final int SPARE = 4;
     private static final AttributeKey CONN = new AttributeKey(Ingress.class, "conn");
@@ -116,19 +118,36 @@
             }
         }
         if (first != null) {
+            // not read any more: a req that this thread would read before it closes would be lost
+            first.session.suspendRead();
             first.session.closeNow();
             connections.decrementAndGet();
             first.counted = false;
         }
     }
 
-    /** Closes what has no req in progress or begun. */
+    /**
+     * Closes, on the front's thread, what has no req in progress or begun. Each is no longer read first, and looked at
+     * again once what was read before that has come: a req that was read and met a close would be lost, while one
+     * that stays unread is sent again elsewhere.
+     */
     public void closeIdle() {
         for (IoSession s : acceptor.getManagedSessions().values()) {
-            if (s.getAttribute(CONN) instanceof ClientConn c && c.asked && !c.busy && HttpCodec.halfSince(s) == 0) {
-                s.closeOnFlush();
+            if (s.getAttribute(CONN) instanceof ClientConn c && !c.busy && !c.lastSaid) {
+                s.suspendRead();
             }
         }
+        loop.at(loop.now() + SETTLE, () -> {
+            for (IoSession s : acceptor.getManagedSessions().values()) {
+                if (s.isReadSuspended() && s.getAttribute(CONN) instanceof ClientConn c) {
+                    if (c.busy || c.posted.get() > 0 || HttpCodec.halfSince(s) != 0) {
+                        s.resumeRead();
+                    } else {
+                        s.closeNow();
+                    }
+                }
+            }
+        });
     }
 
     /** Closes all, after what is written has left or a second has passed. */
@@ -310,7 +329,7 @@
             conn.toHead = asked.toHead();
             // the time a pipelined req waited for its turn is time its client has waited
             boolean full = door.held() >= set.openReqs() || loop.backlog() >= set.backlog();
-            if (door.draining() || full) {
+            if (door.draining() && set.lameDuck() == 0 || full) {
                 refused.incrementAndGet();
                 over(asked);
                 boolean last = door.draining() || asked.last();
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -36,6 +36,31 @@
         assertEquals(List.of(), play.broken);
     }
 
+    @Test
+    void aKeyWhoseAnswerFromTheTrialWasSpoiltDoesNotGoBack() {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
+        play.begin(4);
+        play.tells(2, 1, 0.5, Phase.TRIAL);
+        play.lists(Play.machine("t0", 2, 0, MachineState.LIVE, 1), Play.machine("t1", 2, 0, MachineState.LIVE, 1));
+        int spoilt = 0;
+        for (int i = 0; i < 60; i++) {
+            play.pass(Play.SECOND / 20);
+            String key = "k" + i;
+            Play.Sent first = play.outOf(play.req(0, key));
+            if (first != null && first.build() == 2) {
+                spoilt++;
+                play.ends(first, Outcome.BROKEN);
+                Play.Sent again = play.outOf(first.req());
+                assertTrue(again == null || again.build() == 2, key + " had its answer of build 2, though nobody could read it");
+                Play.Sent next = play.outOf(play.req(0, key));
+                assertTrue(next == null || next.build() == 2, key + " came again");
+            } else if (first != null) {
+                play.ends(first, Outcome.COMPLETED);
+            }
+        }
+        assertTrue(spoilt > 3, "the trial had traffic: " + spoilt);
+    }
+
     @Test
     void aBuildThatLeavesTheListAndReturnsHasNoNewAllowance() {
         Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
