--- a/src/main/java/laurelkeel/cli/Cli.java
+++ b/src/main/java/laurelkeel/cli/Cli.java
@@ -15,7 +15,7 @@
         description = "Shifts traffic between builds while servers are updated.",
         subcommands = {FrontCommand.class, DayCommand.class, StandinCommand.class, CheckCommand.class,
             AuditCommand.class, BlameCommand.class, BenchCommand.class, Cli.BenchlinkCommand.class,
-            Cli.ServeCommand.class},
+            Cli.ServeCommand.class, Cli.RehearseCommand.class},
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:held, or ended as asked", "1:failed while running",
             "2:bad arguments or settings", "3:a rule was broken"})
 final class Cli implements Callable<Integer> {
@@ -80,4 +80,13 @@
             return Serve.run(System.getenv());
         }
     }
+
+    /** Only for the help: Main takes it before. */
+    @Command(name = "rehearse", description = "Runs a front node between parties of its own, for the build's class archive.")
+    static final class RehearseCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            return Rehearsal.run();
+        }
+    }
 }
--- a/src/main/java/laurelkeel/cli/Main.java
+++ b/src/main/java/laurelkeel/cli/Main.java
@@ -16,6 +16,8 @@
             benchlink();
         } else if (args.length == 1 && args[0].equals("serve")) {
             System.exit(Serve.run(System.getenv()));
+        } else if (args.length == 1 && args[0].equals("rehearse")) {
+            System.exit(Rehearsal.run());
         } else {
             System.exit(Cli.run(args));
         }
--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -57,6 +57,9 @@
     private static final double YIELD = 0.7;
     private static final long FRESH = 2 * SECOND;
     private static final long REPEATS = 5 * SECOND;
+    private static final double ERRS_RATE = 0.1;
+    private static final double ERRS_SICK = 0.25;
+    private static final int ERRS_HEARD = 5;
 
     /** One upstream try, with the machine as it was when sent to: an id can come back as another machine. */
     private record Try(int no, Machine to, long sentAt, boolean settled, int openThen, int level) { }
@@ -91,9 +94,10 @@
         final long started;
         double size;
         boolean live;
-        int open, strikes, paced;
+        int open, strikes, paced, heard;
         long outUntil, fullUntil, answeredAt, luckUntil;
-        double credit, wait, others;
+        double credit, wait, others, errs;
+        boolean errsAlone;
         double pace = 1, usualOpen = 1, luck;
         final double far;
         boolean weighed;
@@ -112,8 +116,8 @@
     }
 
     /**
-     * The live machines of one build, by id, until the next list. What the rotation asks of each at every req stands
-     * in rows of its own, kept as it changes: a walk over the machines themselves cost most of a req.
+     * The live machines of one build, by id, until the next list. What the rotation asks of each at every req
+     * stands in rows of its own, kept as it changes: a walk over the machines themselves cost most of a req.
      */
     private static final class Side {
         final List<Machine> live;
@@ -256,11 +260,13 @@
         findBuilds();
         while (!alarms.isEmpty() && alarms.firstKey() <= now) {
             // most have long ended: nothing is left to want for them
-            alarms.pollFirstEntry().getValue().stream().filter(rq -> !rq.ended || rq.out != null).forEach(touched::add);
+            alarms.pollFirstEntry().getValue().stream().filter(rq -> !rq.ended || rq.out != null)
+                    .forEach(touched::add);
         }
         if (now >= nextTick) {
             nextTick = now + TICK;
             tidy();
+            findErrsAlone();
             raiseThreshold();
         }
         for (Rq rq : List.copyOf(touched)) {
@@ -475,10 +481,10 @@
         return set.rollout().perRoute() ? route : 0;
     }
 
-    /** A build that leaves the list ahead of its news, or is passed by another, and returns, has its tries still. */
+    /** A build that leaves the list ahead of its news, or is passed, and returns, has its tries still. */
     private ArrayDeque<Long> exposed(int build, int route) {
-        return exposed.computeIfAbsent(build, k -> set.routes().stream().map(r -> new ArrayDeque<Long>()).toList())
-                .get(scope(route));
+        return exposed.computeIfAbsent(build,
+                k -> set.routes().stream().map(r -> new ArrayDeque<Long>()).toList()).get(scope(route));
     }
 
     private boolean trialOpen(Rq rq, boolean pinned) {
@@ -545,9 +551,9 @@
         }
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
-        if (t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.BROKEN) {
-            // by the build that answered: one not announced yet can leave the list before its answer comes; an
-            // answer that could not be read was one all the same
+        if (!neverRan && t.outcome() != Outcome.ERROR) {
+            // by the build that answered: one not announced yet can leave the list before its answer comes;
+            // an answer that could not be read, or came as the front gave it up, was one all the same
             boolean ahead = was.to.build > base && !takenOff.contains(was.to.build);
             if (ahead && rq.is.key() != null && set.rollout().keysStay()) {
                 pins.merge(rq.is.key(), was.to.build, Math::max);
@@ -566,8 +572,10 @@
     private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
         int r = rq.is.route();
+        m.heard++;
         switch (t.outcome()) {
             case COMPLETED -> {
+                m.errs -= m.errs * ERRS_RATE;
                 m.strikes = 0;
                 m.outUntil = 0;
                 learnPace(m, was, t.took(), r);
@@ -585,10 +593,29 @@
                 m.fullUntil = now + SECOND / 5;
                 m.side.plain = false;
             }
+            case ERROR -> {
+                m.errs += (1 - m.errs) * ERRS_RATE;
+                m.outUntil = m.errsAlone ? now + SECOND : m.outUntil;
+            }
             default -> { }
         }
     }
 
+    /**
+     * Quick errors draw more reqs to a machine than its answers would. One that errs far more than most of
+     * its build is sick by itself: it leaves the rotation, and speaks neither for nor against its build.
+     */
+    private void findErrsAlone() {
+        for (Side side : sides.values()) {
+            double[] errs = side.live.stream().mapToDouble(m -> m.errs).sorted().toArray();
+            double most = errs[(errs.length - 1) / 2];
+            for (Machine m : side.live) {
+                m.errsAlone = errs.length > 1 && m.errs > ERRS_SICK && m.errs > ERRS_SICK / ERRS_RATE * most;
+                side.plain &= !m.errsAlone;
+            }
+        }
+    }
+
     private static int level(double open) {
         return (int) Math.min(LEVELS - 1, Math.round(2 * Math.log(Math.max(1, open)) / Math.log(2)));
     }
@@ -760,12 +787,13 @@
                 if (!m.weighed) {
                     weigh(m);
                 }
-                side.plain &= m.weighed && m.strikes < 2 && now >= m.fullUntil
+                side.plain &= m.weighed && m.strikes < 2 && !m.errsAlone && now >= m.fullUntil
                         && (m.started == 0 || now - m.started >= set.limits().coldFor() + SECOND);
                 if (m.started != 0 && coldFull(m) || bound && !sameGroup(rq, m)) {
                     continue;
                 }
-                boolean sick = m.strikes >= 2 && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
+                boolean ill = m.strikes >= 2 || m.errsAlone;
+                boolean sick = ill && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
                 if (sick || again && rq.met.contains(m)) {
                     side.struck[strucks++] = i;
                 } else {
@@ -867,7 +895,7 @@
             rq.failedIn.cured++;
         }
         boolean counts = error || t.outcome() == Outcome.COMPLETED || t.outcome() == Outcome.TIMEOUT;
-        if (was.settled && counts && was.to.strikes < 2 && !rq.repeat) {
+        if (was.settled && counts && was.to.strikes < 2 && !was.to.errsAlone && !rq.repeat) {
             // by when it was sent: errors come quickly, so a build whose share just rose has them first
             Cell c = cell(was.sentAt, was.to.build, rq.is.route());
             c.tries++;
@@ -892,9 +920,13 @@
         int fails = set.rollout().backVotes() > 1 ? LEAST_FAILS - 1 : LEAST_FAILS;
         // where reqs fail on the earlier build too, only one that another try cured speaks of its build
         boolean cured = !beside || earlier[routes].fails > OWN_FAULT * earlier[routes].tries;
+        // one machine is no build: where several of it are seen, at least two must have erred of late
+        List<Machine> of = machines.values().stream().filter(m -> m.live && m.build == cand).toList();
+        boolean one = of.stream().filter(m -> m.heard >= ERRS_HEARD).count() > 1
+                && of.stream().filter(m -> m.errs > ERRS_RATE / 10).count() < 2;
         for (int r = 0; r <= routes; r++) {
             int least = r < routes ? LEAST / 2 : LEAST;
-            boolean errs = leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails);
+            boolean errs = !one && leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails);
             if (errs || leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS)) {
                 return (errs ? "errors" : "complaints") + " on route " + r;
             }
--- a/src/main/java/laurelkeel/front/Dialect.java
+++ b/src/main/java/laurelkeel/front/Dialect.java
@@ -11,8 +11,9 @@
      * Adds this hop's lines to a req on its way to a machine.
      *
      * @param left tenths of a millisecond that its client still waits
+     * @param within tenths of a millisecond that the front waits for this try
      */
-    void upstream(Lines to, String machine, int tryNo, long left);
+    void upstream(Lines to, String machine, int tryNo, long left, long within);
 
     /** Adds this hop's lines to a machine's answer on its way to the client; id is the front's own. */
     void completed(Lines to, String id);
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import laurelkeel.api.Action;
@@ -146,6 +147,9 @@
     public InetSocketAddress start() throws IOException {
         loop.post(pools::begin);
         loop.post(ingress::begin);
+        if (TRACE) {
+            loop.post(this::trace);
+        }
         new Thread(this::live, "front-" + set.self()).start();
         outfit.start();
         InetSocketAddress at = ingress.open();
@@ -153,6 +157,16 @@
         return at;
     }
 
+    /** What the decider has out at each machine beside what its sockets have: the two must agree. */
+    private void trace() {
+        Map<String, Integer> out = new TreeMap<>();
+        held.values().forEach(h -> h.sent.stream().filter(t -> !t.over)
+                .forEach(t -> out.merge(outfit.place(t.machine).key(), 1, Integer::sum)));
+        LOG.info("trace held {}, clients' connections {}, machines' {}, backlog {}, tries out {}, sockets {}", held.size(),
+                ingress.connections(), pools.open(), loop.backlog(), out, pools.told());
+        loop.at(loop.now() + 10_000, this::trace);
+    }
+
     private void live() {
         Throwable failure = null;
         try {
@@ -337,15 +351,15 @@
             return;
         }
         outfit.tried(h.asked.route());
-        sent.exchange = pools.start(outfit.place(s.machine()), upstream(h, sent), h.asked.toHead(),
+        long limit = s.within() == 0 ? h.leaves : Math.min(h.leaves, loop.now() + Math.max(0, s.within()));
+        sent.exchange = pools.start(outfit.place(s.machine()), upstream(h, sent, limit), h.asked.toHead(),
                 () -> !h.answered && loop.now() < h.leaves && outfit.stillMay(sent.machine, sent.at),
                 (outcome, came) -> ended(h, sent, outcome, came));
-        long limit = s.within() == 0 ? h.leaves : Math.min(h.leaves, loop.now() + Math.max(0, s.within()));
         sent.limit = loop.at(limit, () -> ended(h, sent, sent.exchange.end(Outcome.TIMEOUT), null));
     }
 
-    private byte[] upstream(Held h, Held.Sent sent) {
-        words.upstream(lines, sent.machine, sent.no, h.leaves - loop.now());
+    private byte[] upstream(Held h, Held.Sent sent, long limit) {
+        words.upstream(lines, sent.machine, sent.no, h.leaves - loop.now(), limit - loop.now());
         return h.asked.crossing().with(lines, true);
     }
 
--- a/src/main/java/laurelkeel/front/OwnDialect.java
+++ b/src/main/java/laurelkeel/front/OwnDialect.java
@@ -92,7 +92,7 @@
     }
 
     @Override
-    public void upstream(Lines to, String machine, int tryNo, long left) {
+    public void upstream(Lines to, String machine, int tryNo, long left, long within) {
         to.line("Host", machine).line(Names.REMAINING, Long.toString(Math.max(0, left / 10)))
                 .line(Names.TRY, Integer.toString(tryNo)).line(Names.FRONT, fullName);
     }
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import laurelkeel.api.Event.Outcome;
@@ -83,6 +84,13 @@
         }
     }
 
+    /** By place: connections open, of those idle, dialling, tries waiting. */
+    public Map<String, String> told() {
+        Map<String, String> out = new TreeMap<>();
+        pools.forEach((k, p) -> out.put(k, p.open + "/" + p.idle.size() + "/" + p.dialling + "/" + p.waiting.size()));
+        return out;
+    }
+
     /** Connections open to all machines. */
     public int open() {
         return open;
--- a/src/main/java/laurelkeel/platform/Config.java
+++ b/src/main/java/laurelkeel/platform/Config.java
@@ -39,7 +39,7 @@
         }
     }
 
-    static Config of(JsonNode all, Map<String, String> env) throws BadConfig {
+    public static Config of(JsonNode all, Map<String, String> env) throws BadConfig {
         if (all == null || !all.isObject()) {
             throw new BadConfig("the configuration is no JSON object");
         }
--- a/src/main/java/laurelkeel/platform/Discovery.java
+++ b/src/main/java/laurelkeel/platform/Discovery.java
@@ -11,6 +11,8 @@
 import laurelkeel.wire.BadHttp;
 import laurelkeel.wire.HttpLimits;
 import laurelkeel.wire.HttpParser;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Discovery's watch: a chunked answer that stays open, a line for each change of the list. Loop only. */
 final class Discovery {
@@ -20,6 +22,9 @@
     private static final int LONGEST_LINE = 1 << 20;
     private static final HttpLimits LIMITS = new HttpLimits(1 << 10, 8 << 10, 64, LONGEST_LINE);
 
+    private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
+    private static final boolean TRACE = System.getenv("LAURELKEEL_TRACE") != null;
+
     private final Loop loop;
     private final Machines machines;
     private final Consumer<Event> to;
@@ -75,6 +80,9 @@
         if (!text.isBlank()) {
             Event.MachineList list = machines.line(text, loop.now());
             heard = true;
+            if (TRACE) {
+                LOG.info("trace list {}", text.length() > 2_000 ? text.substring(0, 2_000) : text);
+            }
             if (list != null) {
                 to.accept(list);
             }
--- a/src/main/java/laurelkeel/platform/Feed.java
+++ b/src/main/java/laurelkeel/platform/Feed.java
@@ -40,6 +40,7 @@
     /** One connection and what it told. */
     private final class One implements Links.Heard {
         private final Ear ear = ears.get();
+        private final InetSocketAddress where = at;
         private final long since = loop.now();
         private long heardAt = since;
         private final Links.Link link = links.open(at, opening.get(), this);
@@ -131,7 +132,8 @@
             drop();
             again = now + pause.ms() * 10;
         }
-        boolean silent = current == null || now > current.heardAt + silence;
+        // one at an address that was given up ends soon, or is told nothing more
+        boolean silent = current == null || !current.where.equals(at) || now > current.heardAt + silence;
         if (beside == null && silent && now >= again) {
             beside = new One();
         }
--- a/src/main/java/laurelkeel/platform/Words.java
+++ b/src/main/java/laurelkeel/platform/Words.java
@@ -26,8 +26,6 @@
             LOAD = "X-Backend-Load";
     /** What a name may have: more than any that the platform makes, and few enough to keep thousands of them. */
     private static final int LONGEST_NAME = 128;
-    /** What a client turned away at the door is told to wait at the most, in tenths of a millisecond. */
-    private static final long RETRY_AT_DOOR = 1000;
 
     private final Map<String, Integer> routes = new HashMap<>(), customers = new HashMap<>();
     private final List<Settings.Route> set;
@@ -125,7 +123,7 @@
 
     @Override
     public HttpAnswer atDoor(String why) {
-        return shed(allowed.retryAfter() ? Math.min(RETRY_AT_DOOR, allowed.longestRetryAfter()) : 0, why);
+        return shed(allowed.retryAfter() ? allowed.longestRetryAfter() : 0, why);
     }
 
     @Override
@@ -163,9 +161,9 @@
     }
 
     @Override
-    public void upstream(Lines to, String machine, int tryNo, long left) {
-        String rest = Long.toString(10_000 + Math.max(0, left) % 10_000).substring(1);
-        to.line("Host", "app.svc").line(LEFT, Math.max(0, left) / 10_000 + "." + rest);
+    public void upstream(Lines to, String machine, int tryNo, long left, long within) {
+        String rest = Long.toString(10_000 + Math.max(0, within) % 10_000).substring(1);
+        to.line("Host", "app.svc").line(LEFT, Math.max(0, within) / 10_000 + "." + rest);
     }
 
     @Override
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -49,7 +49,7 @@
             Play.Sent first = play.outOf(play.req(0, key));
             if (first != null && first.build() == 2) {
                 spoilt++;
-                play.ends(first, Outcome.BROKEN);
+                play.ends(first, i % 2 == 0 ? Outcome.BROKEN : Outcome.TIMEOUT);
                 Play.Sent again = play.outOf(first.req());
                 assertTrue(again == null || again.build() == 2, key + " had its answer of build 2, though nobody could read it");
                 Play.Sent next = play.outOf(play.req(0, key));
@@ -61,6 +61,32 @@
         assertTrue(spoilt > 3, "the trial had traffic: " + spoilt);
     }
 
+    /** On the sockets such machines drew a fifth of all tries, and one of them had a good build sent back. */
+    @Test
+    void aMachineThatErrsAloneLeavesTheRotationAndCondemnsNoBuild() {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
+        play.begin(6);
+        play.tells(2, 1, 0.5, Phase.TRIAL);
+        play.lists(Play.machine("t0", 2, 0, MachineState.LIVE, 1), Play.machine("t1", 2, 0, MachineState.LIVE, 1));
+        Set<String> sick = Set.of("t0", "m0");
+        int[] tries = new int[2], late = new int[2];
+        for (int i = 0; i < 3000; i++) {
+            play.pass(Play.SECOND / 100);
+            Play.Sent sent = play.outOf(play.req(0, "k" + i));
+            while (sent != null) {
+                boolean ill = sick.contains(sent.machine());
+                tries[ill ? 0 : 1]++;
+                late[ill ? 0 : 1] += i > 500 ? 1 : 0;
+                play.ends(sent, ill ? Outcome.ERROR : Outcome.COMPLETED);
+                sent = play.outOf(sent.req());
+            }
+        }
+        assertTrue(tries[0] > 5, "they had their part at first: " + tries[0]);
+        assertTrue(late[0] < late[1] / 20, "two of eight machines had " + late[0] + " tries, the others " + late[1]);
+        assertTrue(play.votes.stream().noneMatch(v -> v.verdict() == Verdict.BACK), "the build is as good as its other machine");
+        assertEquals(List.of(), play.broken);
+    }
+
     @Test
     void aBuildThatLeavesTheListAndReturnsHasNoNewAllowance() {
         Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
--- a/src/test/java/laurelkeel/platform/SourcesTest.java
+++ b/src/test/java/laurelkeel/platform/SourcesTest.java
@@ -160,6 +160,27 @@
         }
     }
 
+    /** The old address may go on without closing: it was looked at as heard, and the new one was not dialled again. */
+    @Test
+    void aNewAddressThatIsNotUpYetIsDialledAgainWhileTheOldOneStillSpeaks() throws Exception {
+        try (Stage p = new Stage(Stage::once); Stage.Party disco = new Stage.Party(); Stage.Party desk = new Stage.Party()) {
+            Socket old = p.watch(Stage.list(2, false, p.entry("active", 1, p.machine)));
+            p.event(Event.MachineList.class, 2);
+            int port = disco.at.getLocalPort();
+            Config next = p.config(disco, desk);
+            disco.close();
+            p.node[0].follow(next);
+            Stage.lines(desk.call()).readLine();
+            try (var late = new java.net.ServerSocket(port, 5, java.net.InetAddress.getByName("127.0.0.1"))) {
+                late.setSoTimeout(2_000);
+                Socket w = late.accept();
+                assertTrue(Stage.hear(w).contains("after=2 "));
+                Stage.say(old, Stage.chunk(Stage.list(3, false, p.entry("active", 1, p.machine)) + "\n"));
+                p.event(Event.MachineList.class, 3);
+            }
+        }
+    }
+
     @Test
     void aNodeToldToStopTakesWhatStillComesAndAnswersAll() throws Exception {
         try (Stage p = new Stage(Stage::once)) {
