--- a/src/main/java/laurelkeel/cli/Serve.java
+++ b/src/main/java/laurelkeel/cli/Serve.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 import laurelkeel.decision.Shifter;
 import laurelkeel.front.Front;
 import laurelkeel.logs.Sparing;
@@ -12,6 +13,9 @@
 
 /** Runs one front node of the users' platform in the foreground, set by its environment (docs/platform.md). */
 final class Serve {
+    private static final int REREADS = 20;
+    private static final long REREAD_NANOS = 100_000_000;
+
     private Serve() { }
 
     static int run(Map<String, String> env) throws Exception {
@@ -34,16 +38,25 @@
         // threads of libraries too: none may die alone
         Thread.setDefaultUncaughtExceptionHandler((thread, e) -> front.fail(e));
         Signal.handle(new Signal("TERM"), s -> front.drain());
-        Signal.handle(new Signal("HUP"), s -> {
-            try {
-                node[0].follow(Config.read(file, env));
-            } catch (BadConfig e) {
-                System.err.println("laurelkeel: the configuration before stays in force: " + e.getMessage());
-            }
-        });
+        Signal.handle(new Signal("HUP"), s -> reread(file, env, node[0]));
         front.start();
         Throwable failure = front.ended().get();
         Sparing.flush(Cli.LOGS_MS);
         return failure == null ? 0 : Cli.FAILED;
     }
+
+    /** A file may be read while it is being replaced: one that cannot be followed is read again for two seconds. */
+    static void reread(Path file, Map<String, String> env, Node node) {
+        String why = "";
+        for (int i = 0; i < REREADS; i++) {
+            try {
+                node.follow(Config.read(file, env));
+                return;
+            } catch (BadConfig e) {
+                why = e.getMessage();
+                LockSupport.parkNanos(REREAD_NANOS);
+            }
+        }
+        System.err.println("laurelkeel: the configuration before stays in force: " + why);
+    }
 }
