--- a/src/test/java/laurelkeel/platform/SourcesTest.java
+++ b/src/test/java/laurelkeel/platform/SourcesTest.java
@@ -198,8 +198,11 @@
             Socket a = p.client(), idle = p.client();
             Stage.say(a, Stage.look("1", ""));
             Socket m1 = p.machine.call();
+            // heard, so that it has its connection before the next req asks for one
+            Stage.hear(m1);
             Stage.say(idle, Stage.look("0", ""));
             Socket m0 = p.machine.call();
+            Stage.hear(m0);
             Stage.say(m0, Stage.ok("0"));
             Stage.hear(idle);
             p.front.drain();
