One outfit hands over its decider; figures, names and test peers stand once

On reading the whole change once more: - Node gave itself back through an array, and Front had six constructors to carry a decider and a life beside the outfit: Node.of returns the node, Outfit has its decider, Base the life that Front and Own each made up. - Ingress and Node each knew that a quarter of the places is spare: IngressSettings.spare says it. Node worked out the longest route that Front takes anyway. Outfit.draining, Dialect's import and Links.inputClosed (MINA's default) had no use. - Machines.read kept two lists in step; three classes of the platform had a JSON mapper each at start-up; two read LAURELKEEL_TRACE; three commands named logback's file. - Stage said again what Peers and Rig say: the scripted decider, say, hear, await. hear still takes a reset for an end there only.

--- a/src/main/java/laurelkeel/cli/Cli.java
+++ b/src/main/java/laurelkeel/cli/Cli.java
@@ -38,7 +38,6 @@
     }
 
     static int run(String[] args) {
-        System.setProperty("logback.configurationFile", "logback-text.xml");
         CommandLine line = new CommandLine(new Cli()).setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionExceptionHandler((e, cmd, parsed) -> {
             if (e instanceof BadSettings) {
--- a/src/main/java/laurelkeel/cli/Main.java
+++ b/src/main/java/laurelkeel/cli/Main.java
@@ -12,6 +12,8 @@
     private Main() { }
 
     public static void main(String[] args) throws Exception {
+        // read by logback at its first use; the option --logs may name another one before
+        System.setProperty("logback.configurationFile", "logback-text.xml");
         if (args.length == 1 && args[0].equals("benchlink")) {
             benchlink();
         } else if (args.length == 1 && args[0].equals("serve")) {
--- a/src/main/java/laurelkeel/cli/Rehearsal.java
+++ b/src/main/java/laurelkeel/cli/Rehearsal.java
@@ -82,7 +82,6 @@
     }
 
     static int run() throws Exception {
-        System.setProperty("logback.configurationFile", "logback-text.xml");
         String machine = party((s, in) -> {
             while (head(in)) {
                 say(s, "HTTP/1.1 200 OK\r\nX-Backend-Load: {\"inflight\":1}\r\nContent-Length: 2\r\n\r\nok");
@@ -103,8 +102,8 @@
         });
         String known = "{\"version\":1,\"full\":true,\"servers\":[" + old + "," + more + "]}";
         Config config = Config.of(new ObjectMapper().readTree(CONFIG.formatted(discovery, desk, known)), Map.of());
-        Node[] node = new Node[1];
-        Front front = Node.front(config, Shifter::new, node);
+        Node node = Node.of(config, Shifter::new);
+        Front front = node.front();
         int port = front.start().getPort();
         int served = 0;
         try (Socket c = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -123,7 +122,7 @@
                 }
             }
         }
-        node[0].follow(config);
+        node.follow(config);
         front.drain();
         front.ended().get();
         System.err.println("rehearsed: " + served + " of " + REQS + " reqs served");
--- a/src/main/java/laurelkeel/cli/Serve.java
+++ b/src/main/java/laurelkeel/cli/Serve.java
@@ -19,7 +19,6 @@
     private Serve() { }
 
     static int run(Map<String, String> env) throws Exception {
-        System.setProperty("logback.configurationFile", "logback-text.xml");
         String at = env.get("RELAY_CONFIG");
         if (at == null || at.isEmpty()) {
             System.err.println("laurelkeel: RELAY_CONFIG is not set; it must name the configuration");
@@ -33,12 +32,12 @@
             System.err.println("laurelkeel: " + e.getMessage());
             return Cli.BAD_INPUT;
         }
-        Node[] node = new Node[1];
-        Front front = Node.front(config, Shifter::new, node);
+        Node node = Node.of(config, Shifter::new);
+        Front front = node.front();
         // threads of libraries too: none may die alone
         Thread.setDefaultUncaughtExceptionHandler((thread, e) -> front.fail(e));
         Signal.handle(new Signal("TERM"), s -> front.drain());
-        Signal.handle(new Signal("HUP"), s -> reread(file, env, node[0]));
+        Signal.handle(new Signal("HUP"), s -> reread(file, env, node));
         front.start();
         Throwable failure = front.ended().get();
         Sparing.flush(Cli.LOGS_MS);
--- a/src/main/java/laurelkeel/front/Base.java
+++ b/src/main/java/laurelkeel/front/Base.java
@@ -12,22 +12,24 @@
 /**
  * The threads that a front and its outfit share; the front ends them.
  *
+ * @param life names this start of the front among all its starts
  * @param shared runs the sockets of all sides; null where each side has threads of its own
  */
-public record Base(Loop loop, ExecutorService socketThreads, ScheduledExecutorService timer,
+public record Base(String life, Loop loop, ExecutorService socketThreads, ScheduledExecutorService timer,
         SimpleIoProcessorPool<NioSession> shared) {
     /** The front's clock begins here, so that what began before the front did still has a moment above 0. */
     private static final long ORIGIN = 36_000_000;
 
     public static Base of(LongSupplier clock) {
         Loop loop = new Loop(clock);
-        return new Base(loop, Threads.many(loop, "front-sockets"), Threads.timer(loop, "front-timer"), null);
+        return new Base(Long.toString(System.currentTimeMillis(), 36), loop, Threads.many(loop, "front-sockets"),
+                Threads.timer(loop, "front-timer"), null);
     }
 
     /** For a machine with one core or less: one thread has all sockets. */
     public static Base small(LongSupplier clock) {
         Base b = of(clock);
-        return new Base(b.loop, b.socketThreads, b.timer, b.processors(1));
+        return new Base(b.life, b.loop, b.socketThreads, b.timer, b.processors(1));
     }
 
     /** So many socket threads for one side, or the one that all share. */
--- a/src/main/java/laurelkeel/front/Dialect.java
+++ b/src/main/java/laurelkeel/front/Dialect.java
@@ -1,6 +1,5 @@
 package laurelkeel.front;
 
-import laurelkeel.front.ingress.Asked;
 import laurelkeel.front.ingress.ClientWords;
 import laurelkeel.front.upstream.MachineWords;
 import laurelkeel.wire.Lines;
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -43,7 +43,7 @@
     private static final Logger DECIDER = LoggerFactory.getLogger("laurelkeel.decisions");
 
     /** Set in the environment: every try that failed is logged, and each second what is held and open. */
-    private static final boolean TRACE = System.getenv("LAURELKEEL_TRACE") != null;
+    public static final boolean TRACE = System.getenv("LAURELKEEL_TRACE") != null;
 
     private final Settings set;
     private final long drainMost, lameDuck, probeTimeout;
@@ -54,7 +54,6 @@
     private final Dialect words;
     private final Ingress ingress;
     private final Pools pools;
-    private final String life;
     private final boolean guarded;
     private final Lines lines = new Lines();
 
@@ -84,29 +83,23 @@
         this(set.decisions(), set.ingress(), set.upstream(), base, new Own(set, maker, base, guarded), guarded);
     }
 
-    private Front(Settings set, IngressSettings door, UpstreamSettings upstream, Base base, Own own, boolean guarded) {
-        this(set, door, upstream, base, own.decider(), own, own.life(), guarded);
-    }
-
     /** A front that speaks and hears what its outfit does. */
-    public Front(Settings set, IngressSettings door, UpstreamSettings upstream, Base base, Decider decider,
-            Outfit outfit) {
-        this(set, door, upstream, base, decider, outfit, Long.toString(System.currentTimeMillis(), 36), true);
+    public Front(Settings set, IngressSettings door, UpstreamSettings upstream, Base base, Outfit outfit) {
+        this(set, door, upstream, base, outfit, true);
     }
 
-    private Front(Settings set, IngressSettings door, UpstreamSettings upstream, Base base, Decider decider,
-            Outfit outfit, String life, boolean guarded) {
+    private Front(Settings set, IngressSettings door, UpstreamSettings upstream, Base base, Outfit outfit,
+            boolean guarded) {
         this.set = set;
         this.base = base;
-        this.decider = decider;
         this.outfit = outfit;
-        this.life = life;
         this.guarded = guarded;
         drainMost = door.drainMost();
         lameDuck = door.lameDuck();
         probeTimeout = upstream.probeTimeout();
         loop = base.loop();
         words = outfit.dialect();
+        decider = outfit.decider();
         pools = new Pools(upstream, words, loop, base.socketThreads(), base.processors(upstream.threads()));
         ingress = new Ingress(door, words, loop, base.socketThreads(), base.processors(door.threads()), new Taker());
         outfit.joined(this);
@@ -153,7 +146,7 @@
         new Thread(this::live, "front-" + set.self()).start();
         outfit.start();
         InetSocketAddress at = ingress.open();
-        LOG.info("front {} of {} takes reqs on {}, life {}", set.self(), set.fronts(), at, life);
+        LOG.info("front {} of {} takes reqs on {}, life {}", set.self(), set.fronts(), at, base.life());
         return at;
     }
 
@@ -228,7 +221,6 @@
             if (!stopping) {
                 stopping = true;
                 LOG.info("draining: {} reqs held", held.size());
-                outfit.draining();
                 if (lameDuck > 0) {
                     loop.at(loop.now() + lameDuck, this::takeNoMore);
                 } else {
@@ -443,7 +435,7 @@
                 return;
             }
             long number = ids++;
-            String id = life + "-" + Long.toString(number, 36);
+            String id = base.life() + "-" + Long.toString(number, 36);
             long leaves = arrived + asked.remaining();
             Held h = new Held(id, number, from, asked, loop.now(), leaves);
             from.current(h);
--- a/src/main/java/laurelkeel/front/FrontSettings.java
+++ b/src/main/java/laurelkeel/front/FrontSettings.java
@@ -170,7 +170,7 @@
         HttpLimits limits = new HttpLimits((int) s.bytes("line", "8 KiB", "64 B", "1 MiB"),
                 (int) s.bytes("header-bytes", "32 KiB", "256 B", "4 MiB"), s.small("headers", "100", 4, 10_000),
                 (int) s.bytes("body", "1 MiB", "0 B", "256 MiB"));
-        return new IngressSettings(listen, limits, s.small("connections", "20000", 1, 1_000_000),
+        return new IngressSettings(listen, limits, s.small("connections", "20000", 1, 1_000_000), 0,
                 s.small("open-reqs", "20000", 1, 1_000_000), s.small("backlog", "8192", 16, 1_000_000),
                 s.small("pipelined", "16", 1, 10_000), s.time("idle-close", "60 s", "100 ms", "24 h"),
                 s.time("write-timeout", "10 s", "100 ms", "1 h"), s.small("threads", "2", 1, 64),
--- a/src/main/java/laurelkeel/front/Outfit.java
+++ b/src/main/java/laurelkeel/front/Outfit.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import laurelkeel.api.Action;
+import laurelkeel.api.Decider;
 import laurelkeel.api.Event.Outcome;
 import laurelkeel.front.ingress.Asked;
 import laurelkeel.front.upstream.Place;
@@ -16,6 +17,8 @@
 public interface Outfit {
     Dialect dialect();
 
+    Decider decider();
+
     /** The front stands, and nothing of it has begun. */
     void joined(Front front);
 
@@ -25,9 +28,6 @@
     /** What ends its sources and threads, each to be run once the front has ended. */
     List<Runnable> ends();
 
-    /** The front takes nothing new from now on. */
-    default void draining() { }
-
     /** Where a machine that the list named is reached. */
     Place place(String machine);
 
--- a/src/main/java/laurelkeel/front/Own.java
+++ b/src/main/java/laurelkeel/front/Own.java
@@ -55,7 +55,7 @@
     private final ExecutorService httpThreads;
     private final ListSource list;
     private final ReleaseSource release;
-    private final String life = Long.toString(System.currentTimeMillis(), 36);
+    private final String life;
     private final Refs refs = new Refs(REFS);
     private final Map<Integer, Lanes.Blame> blames = new HashMap<>();
     private final Map<String, Place> places = new HashMap<>();
@@ -66,6 +66,7 @@
     Own(FrontSettings set, Decider.Maker maker, Base base, boolean guarded) throws IOException {
         this.set = set;
         this.base = base;
+        life = base.life();
         loop = base.loop();
         counts = new Counts(set.routes().entries().stream().map(RouteTable.Entry::name).toList());
         lanes = new Lanes(set.decisions(), set.seed(), maker);
@@ -118,14 +119,11 @@
         return "http://" + a.getHostString() + ":" + a.getPort();
     }
 
-    Decider decider() {
+    @Override
+    public Decider decider() {
         return decider;
     }
 
-    String life() {
-        return life;
-    }
-
     @Override
     public Dialect dialect() {
         return dialect;
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -30,8 +30,6 @@
     private static final long SWEEP = 1_000;
     /** What a socket thread had in hand has long come by then. */
     private static final long SETTLE = 500;
-    /** Connections that may come, as a share of all, while others make room for them. */
-    private static final int SPARE = 4;
     private static final AttributeKey CONN = new AttributeKey(Ingress.class, "conn");
 
     private final IngressSettings set;
@@ -196,7 +194,7 @@
             if (connections.incrementAndGet() > set.connections() && set.keep() > 0) {
                 makeRoom(conn);
             }
-            if (connections.get() > set.connections() + (set.keep() > 0 ? set.connections() / SPARE : 0)) {
+            if (connections.get() > set.connections() + set.spare()) {
                 // told at once that nothing was taken, so nothing that it sent meanwhile may be
                 conn.turnedAway = true;
                 refused.incrementAndGet();
--- a/src/main/java/laurelkeel/front/ingress/IngressSettings.java
+++ b/src/main/java/laurelkeel/front/ingress/IngressSettings.java
@@ -6,6 +6,7 @@
 /**
  * The door's bounds; times in tenths of a millisecond.
  *
+ * @param spare connections that may come on top while others make room for them
  * @param openReqs reqs held at once; past them new ones are shed at the door
  * @param backlog happenings waiting for the loop; past them new reqs are shed at the door
  * @param pipelined reqs of one connection that may wait behind the one in progress; past them it is not read
@@ -16,6 +17,6 @@
  * @param keep an idle connection is kept so long after an answer even where another needs its place; 0: connections
  *     that come when all places are taken are turned away
  */
-public record IngressSettings(InetSocketAddress listen, HttpLimits limits, int connections, int openReqs, int backlog,
-        int pipelined, long idleClose, long writeTimeout, int threads, long drainMost, long lameDuck, long firstReq,
-        long halfReq, long keep) { }
+public record IngressSettings(InetSocketAddress listen, HttpLimits limits, int connections, int spare, int openReqs,
+        int backlog, int pipelined, long idleClose, long writeTimeout, int threads, long drainMost, long lameDuck,
+        long firstReq, long halfReq, long keep) { }
--- a/src/main/java/laurelkeel/platform/Config.java
+++ b/src/main/java/laurelkeel/platform/Config.java
@@ -24,7 +24,7 @@
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress desk,
         long seed, int sockets, JsonNode news, JsonNode known, Settings settings, Options.Real real) {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    static final ObjectMapper JSON = new ObjectMapper();
 
     /** @param env the environment, whose RELAY_NAME and RELAY_LISTEN stand for fields that the file lacks */
     public static Config read(Path file, Map<String, String> env) throws BadConfig {
@@ -86,8 +86,7 @@
     }
 
     static InetSocketAddress address(String field, String s) throws BadConfig {
-        int colon = s == null ? -1 : s.lastIndexOf(':');
-        InetSocketAddress at = colon < 1 ? null : Addresses.of(s);
+        InetSocketAddress at = s == null ? null : Addresses.of(s);
         if (at == null) {
             throw new BadConfig(field + ": '" + s + "' is no address as 10.0.0.4:5000");
         }
--- a/src/main/java/laurelkeel/platform/Discovery.java
+++ b/src/main/java/laurelkeel/platform/Discovery.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import laurelkeel.api.Event;
+import laurelkeel.front.Front;
 import laurelkeel.loop.Loop;
 import laurelkeel.wire.BadHttp;
 import laurelkeel.wire.HttpLimits;
@@ -23,7 +24,6 @@
     private static final HttpLimits LIMITS = new HttpLimits(1 << 10, 8 << 10, 64, LONGEST_LINE);
 
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
-    private static final boolean TRACE = System.getenv("LAURELKEEL_TRACE") != null;
 
     private final Loop loop;
     private final Machines machines;
@@ -80,7 +80,7 @@
         if (!text.isBlank()) {
             Event.MachineList list = machines.line(text, loop.now());
             heard = true;
-            if (TRACE) {
+            if (Front.TRACE) {
                 LOG.info("trace list {}", text.length() > 2_000 ? text.substring(0, 2_000) : text);
             }
             if (list != null) {
--- a/src/main/java/laurelkeel/platform/Links.java
+++ b/src/main/java/laurelkeel/platform/Links.java
@@ -107,11 +107,6 @@
             });
         }
 
-        @Override
-        public void inputClosed(IoSession session) {
-            session.closeNow();
-        }
-
         @Override
         public void sessionClosed(IoSession session) {
             Link link = (Link) session.getAttribute(LINK);
--- a/src/main/java/laurelkeel/platform/Loads.java
+++ b/src/main/java/laurelkeel/platform/Loads.java
@@ -2,13 +2,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.HashMap;
 import java.util.Map;
 
 /** Load reports, by the names that the decider knows their values under. One that cannot be read is none. */
 final class Loads {
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final Map<String, String> NAMES = Map.of("inflight", "concurrent", "queue", "depth", "util",
             "load_share", "latency_ms", "mean_ms", "qps", "tps", "eps", "err_ps");
 
@@ -19,7 +17,7 @@
             return Map.of();
         }
         try {
-            JsonNode all = JSON.readTree(told);
+            JsonNode all = Config.JSON.readTree(told);
             Map<String, Double> out = new HashMap<>();
             all.properties().forEach(e -> {
                 if (e.getValue().isNumber()) {
--- a/src/main/java/laurelkeel/platform/Machines.java
+++ b/src/main/java/laurelkeel/platform/Machines.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,7 +17,6 @@
 
 /** Discovery's list: what it says of each machine, and where each is reached. Loop only. */
 final class Machines {
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final Map<String, MachineState> STATES = Map.of("active", MachineState.LIVE, "leaving",
             MachineState.DRAINING, "left", MachineState.GONE);
 
@@ -53,7 +51,7 @@
     /** A line of the watch as an event; null for one that tells nothing new. */
     Event.MachineList line(String text, long now) throws Spoilt {
         try {
-            return read(JSON.readTree(text), false, now);
+            return read(Config.JSON.readTree(text), false, now);
         } catch (JsonProcessingException e) {
             throw new Spoilt("no JSON: " + Spoilt.shown(text));
         }
@@ -74,29 +72,27 @@
         if (!full && to <= version) {
             return null;
         }
-        List<Listed> listed = new ArrayList<>();
-        List<Place> places = new ArrayList<>();
+        // all are read before any is followed: a line that is spoilt at its end changes nothing
+        List<Entry> told = new ArrayList<>();
         for (JsonNode s : servers) {
-            Listed is = listed(s);
-            listed.add(is);
-            String addr = s.path("addr").asText("");
-            // the same machine anew, with another build or elsewhere gets no connection of its forerunner
-            places.add(new Place(is.machine() + "@" + addr + "/" + is.build() + "/" + is.started(), Addresses.of(addr)));
+            told.add(entry(s, now));
         }
         Set<String> named = new HashSet<>();
-        for (int i = 0; i < listed.size(); i++) {
-            Listed is = listed.get(i);
-            named.add(is.machine());
-            Entry was = entries.get(is.machine());
-            if (was != null && !was.place.key().equals(places.get(i).key())) {
+        for (Entry e : told) {
+            String id = e.is.machine();
+            named.add(id);
+            Entry was = entries.get(id);
+            boolean there = was != null && was.place.equals(e.place);
+            if (was != null && !there) {
                 left.accept(was.place.key());
             }
-            if (is.state() == MachineState.GONE) {
-                entries.remove(is.machine());
-                left.accept(places.get(i).key());
+            if (e.is.state() == MachineState.GONE) {
+                entries.remove(id);
+                left.accept(e.place.key());
+            } else if (!there || was.is.state() != e.is.state()) {
+                entries.put(id, e);
             } else {
-                boolean same = was != null && was.place.equals(places.get(i)) && was.is.state() == is.state();
-                entries.put(is.machine(), new Entry(is, places.get(i), same ? was.changed : now));
+                entries.put(id, new Entry(e.is, e.place, was.changed));
             }
         }
         if (full) {
@@ -109,10 +105,11 @@
             });
         }
         version = to;
-        return new Event.MachineList(remembered ? ListKind.REMEMBERED : full ? ListKind.FULL : ListKind.CHANGES, listed);
+        return new Event.MachineList(remembered ? ListKind.REMEMBERED : full ? ListKind.FULL : ListKind.CHANGES,
+                told.stream().map(Entry::is).toList());
     }
 
-    private Listed listed(JsonNode s) throws Spoilt {
+    private Entry entry(JsonNode s, long now) throws Spoilt {
         String id = s.path("id").asText("");
         MachineState state = STATES.get(s.path("state").asText(""));
         if (id.isEmpty() || state == null) {
@@ -120,9 +117,12 @@
         }
         double size = s.path("weight").asDouble(1);
         long started = s.path("started_ms").asLong(0);
-        return new Listed(id, s.path("revision_no").asInt(0), number(zones, s.path("zone").asText("")),
+        Listed is = new Listed(id, s.path("revision_no").asInt(0), number(zones, s.path("zone").asText("")),
                 s.path("cell").asInt(0), number(kinds, s.path("kind").asText("")), size > 0 ? size : 1, state,
                 started <= 0 ? 0 : Math.max(1, epoch + started * 10));
+        String addr = s.path("addr").asText("");
+        // the same machine anew, with another build or elsewhere gets no connection of its forerunner
+        return new Entry(is, new Place(id + "@" + addr + "/" + is.build() + "/" + is.started(), Addresses.of(addr)), now);
     }
 
     /** Names are numbered in the settings' order, and any others as they are met. */
--- a/src/main/java/laurelkeel/platform/Node.java
+++ b/src/main/java/laurelkeel/platform/Node.java
@@ -6,7 +6,6 @@
 import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
 import laurelkeel.api.Event.Phase;
-import laurelkeel.api.Settings;
 import laurelkeel.front.Base;
 import laurelkeel.front.Dialect;
 import laurelkeel.front.Front;
@@ -31,6 +30,7 @@
     private static final int OWN_SOCKETS = 48;
     /** Of the rest, what clients may hold; a quarter of that comes on top while others make room. */
     private static final double CLIENTS = 0.44;
+    private static final int SPARE = 4;
     /** New connections come for 0.4 s after SIGTERM, and clients' reqs count as owed for 0.7 s. */
     private static final long LAME_DUCK = 5_500;
     /** Clients that cannot be understood are owed a close within 3 s. */
@@ -45,6 +45,7 @@
     private static final long READY_ANYWAY = 30_000;
 
     private final Config config;
+    private final Decider decider;
     private final Base base;
     private final Loop loop;
     private final Words words;
@@ -58,8 +59,9 @@
     private double newsCap;
     private long loweredAt = Long.MIN_VALUE;
 
-    private Node(Config config, Base base) {
+    private Node(Config config, Decider.Maker maker, Base base) {
         this.config = config;
+        decider = maker.make(config.settings(), config.seed());
         this.base = base;
         loop = base.loop();
         words = new Words(config.settings(), config.real());
@@ -72,13 +74,15 @@
                 this::news);
     }
 
-    /** A front node with the decider that maker makes; it runs once start is called on it. */
-    public static Front front(Config config, Decider.Maker maker, Node[] made) {
-        Base base = Base.small(Base.clock());
-        Node node = new Node(config, base);
-        made[0] = node;
-        Settings set = config.settings();
-        return new Front(set, door(config), machineSide(config), base, maker.make(set, config.seed()), node);
+    /** A front node with the decider that maker makes; it runs once its front is started. */
+    public static Node of(Config config, Decider.Maker maker) {
+        Node node = new Node(config, maker, Base.small(Base.clock()));
+        new Front(config.settings(), door(config), machineSide(config), node.base, node);
+        return node;
+    }
+
+    public Front front() {
+        return front;
     }
 
     private static int clientConnections(int sockets) {
@@ -87,15 +91,16 @@
 
     /** What may be open to all machines where a process may hold so many descriptors. */
     static int machineConnections(int sockets) {
-        return Math.max(8, sockets - OWN_SOCKETS - clientConnections(sockets) * 5 / 4);
+        int clients = clientConnections(sockets);
+        return Math.max(8, sockets - OWN_SOCKETS - clients - clients / SPARE);
     }
 
     private static IngressSettings door(Config c) {
         int open = clientConnections(c.sockets());
         int held = c.real().mostOpen() > 0 ? Math.min(c.real().mostOpen(), open * 2) : open * 2;
-        long longest = c.settings().routes().stream().mapToLong(Settings.Route::timeout).max().orElse(0);
-        return new IngressSettings(c.listen(), new HttpLimits(2 << 10, 8 << 10, 64, BODY), open, held, 8192, 4, 600_000,
-                100_000, 1, longest, LAME_DUCK, FIRST_REQ, HALF_REQ, KEEP);
+        // a drain takes as long as the longest route at least, and need not take longer
+        return new IngressSettings(c.listen(), new HttpLimits(2 << 10, 8 << 10, 64, BODY), open, open / SPARE, held, 8192,
+                4, 600_000, 100_000, 1, 0, LAME_DUCK, FIRST_REQ, HALF_REQ, KEEP);
     }
 
     private static UpstreamSettings machineSide(Config c) {
@@ -162,6 +167,11 @@
         return words;
     }
 
+    @Override
+    public Decider decider() {
+        return decider;
+    }
+
     @Override
     public Place place(String machine) {
         return machines.place(machine);
--- a/src/test/java/laurelkeel/front/Peers.java
+++ b/src/test/java/laurelkeel/front/Peers.java
@@ -16,12 +16,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import laurelkeel.api.Action;
 import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
 
 /** A front between a machine whose every byte a test writes and clients that are plain sockets. */
-final class Peers implements AutoCloseable {
+public final class Peers implements AutoCloseable {
     /** Of one front; with lines of its own in its first section. */
     static final String SETTINGS = """
             [front]
@@ -75,14 +76,7 @@
         t.start();
         Path file = folder.resolve("front.ini");
         Files.writeString(file, SETTINGS.formatted(String.join("\n", frontLines)) + extra);
-        Decider d = (now, batch) -> {
-            List<Action> out = new ArrayList<>();
-            for (Event e : batch) {
-                events.add(e);
-                out.addAll(decide.apply(this, e));
-            }
-            return out;
-        };
+        Decider d = decider(events, e -> decide.apply(this, e));
         try {
             front = new Front(FrontSettings.read(file), (set, seed) -> d);
         } catch (laurelkeel.config.BadSettings e) {
@@ -91,6 +85,18 @@
         at = front.start();
     }
 
+    /** Keeps all events, and does at each what it is told to; all of a batch's actions are joined. */
+    public static Decider decider(List<Event> events, Function<Event, List<Action>> decide) {
+        return (now, batch) -> {
+            List<Action> out = new ArrayList<>();
+            for (Event e : batch) {
+                events.add(e);
+                out.addAll(decide.apply(e));
+            }
+            return out;
+        };
+    }
+
     String machineId() {
         return "127.0.0.1:" + machine.getLocalPort();
     }
@@ -110,7 +116,7 @@
         return s;
     }
 
-    static void say(Socket s, String text) throws IOException {
+    public static void say(Socket s, String text) throws IOException {
         s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         s.getOutputStream().flush();
     }
@@ -127,7 +133,10 @@
 
     /** One message: its head, and as much body as its length says. */
     static String hear(Socket s) throws IOException {
-        InputStream in = s.getInputStream();
+        return hear(s.getInputStream());
+    }
+
+    public static String hear(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int b = in.read();
--- a/src/test/java/laurelkeel/front/Rig.java
+++ b/src/test/java/laurelkeel/front/Rig.java
@@ -21,7 +21,7 @@
 import laurelkeel.records.Recorder;
 
 /** The end-to-end tests' one helper: fronts of this process between stand-ins, played until a condition holds. */
-final class Rig implements AutoCloseable {
+public final class Rig implements AutoCloseable {
     static final String COMMON = """
             [day]
             fronts = %d
@@ -117,7 +117,7 @@
     }
 
     /** Waits for a condition, 30 s at the most; a test that reaches that fails. */
-    static void await(String what, BooleanSupplier held) {
+    public static void await(String what, BooleanSupplier held) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (!held.getAsBoolean()) {
             if (System.nanoTime() > end) {
--- a/src/test/java/laurelkeel/platform/SourcesTest.java
+++ b/src/test/java/laurelkeel/platform/SourcesTest.java
@@ -152,7 +152,7 @@
             Stage.say(c, Stage.look("1", ""));
             Socket m = p.machine.call();
             Stage.hear(m);
-            p.node[0].follow(p.config(disco, desk));
+            p.node.follow(p.config(disco, desk));
             Socket w = disco.call();
             assertTrue(Stage.hear(w).contains("after=2 "));
             assertEquals("SUB", Stage.lines(desk.call()).readLine());
@@ -175,7 +175,7 @@
             int port = disco.at.getLocalPort();
             Config next = p.config(disco, desk);
             disco.close();
-            p.node[0].follow(next);
+            p.node.follow(next);
             Stage.lines(desk.call()).readLine();
             try (var late = new java.net.ServerSocket(port, 5, java.net.InetAddress.getByName("127.0.0.1"))) {
                 late.setSoTimeout(2_000);
--- a/src/test/java/laurelkeel/platform/Stage.java
+++ b/src/test/java/laurelkeel/platform/Stage.java
@@ -2,12 +2,13 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
+import java.io.FilterInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,9 +20,10 @@
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import laurelkeel.api.Action;
-import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
 import laurelkeel.front.Front;
+import laurelkeel.front.Peers;
+import laurelkeel.front.Rig;
 
 /** A front node between a machine, a discovery and a release desk whose every byte a test writes. */
 final class Stage implements AutoCloseable {
@@ -83,7 +85,7 @@
 
     final Party machine = new Party(), discovery = new Party(), desk = new Party();
     final List<Event> events = new CopyOnWriteArrayList<>();
-    final Node[] node = new Node[1];
+    final Node node;
     final Front front;
     final String at;
     private final int sockets, voteTimeout;
@@ -96,15 +98,8 @@
     Stage(int sockets, int voteTimeout, BiFunction<Stage, Event, List<Action>> decide) throws Exception {
         this.sockets = sockets;
         this.voteTimeout = voteTimeout;
-        Decider d = (now, batch) -> {
-            List<Action> out = new ArrayList<>();
-            for (Event e : batch) {
-                events.add(e);
-                out.addAll(decide.apply(this, e));
-            }
-            return out;
-        };
-        front = Node.front(config(discovery, desk), (set, seed) -> d, node);
+        node = Node.of(config(discovery, desk), (set, seed) -> Peers.decider(events, e -> decide.apply(this, e)));
+        front = node.front();
         at = "127.0.0.1:" + front.start().getPort();
     }
 
@@ -155,8 +150,7 @@
     }
 
     static void say(Socket s, String text) throws IOException {
-        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        s.getOutputStream().flush();
+        Peers.say(s, text);
     }
 
     /** The watch that discovery was asked for, with its answer's head and these lines written. */
@@ -174,25 +168,18 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
-    /** One message: its head, and as much body as its length says; what came before an end where it ends. */
+    /** As Peers.hear, and a connection that was reset has ended too. */
     static String hear(Socket s) throws IOException {
-        InputStream in = s.getInputStream();
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int b;
-            try {
-                b = in.read();
-            } catch (java.net.SocketException e) {
-                b = -1;
-            }
-            if (b < 0) {
-                return head.append("<end>").toString();
+        return Peers.hear(new FilterInputStream(s.getInputStream()) {
+            @Override
+            public int read() throws IOException {
+                try {
+                    return super.read();
+                } catch (SocketException e) {
+                    return -1;
+                }
             }
-            head.append((char) b);
-        }
-        var m = java.util.regex.Pattern.compile("(?i)Content-Length: (\\d+)").matcher(head);
-        byte[] body = in.readNBytes(m.find() ? Integer.parseInt(m.group(1)) : 0);
-        return head + new String(body, StandardCharsets.ISO_8859_1);
+        });
     }
 
     static BufferedReader lines(Socket s) throws IOException {
@@ -210,13 +197,7 @@
     }
 
     static void await(String what, BooleanSupplier held) {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (!held.getAsBoolean()) {
-            if (System.nanoTime() > end) {
-                throw new AssertionError("not within 30 s: " + what);
-            }
-            java.util.concurrent.locks.LockSupport.parkNanos(5_000_000);
-        }
+        Rig.await(what, held);
     }
 
     @Override
