One way of ending a client's connection; the listener closes after its backlog is taken

Ruled out: that posted covers it; it was counted down before busy was set and not looked at by three of the four. Change: a connection counts what it owes from the read to the written answer; retire() stops reading, has the thread that reads look once all before is written (an empty message through the codec), and closes or reads on. A connection held back for pipelining is not read on by a drain any more. LastCall takes the kernel's backlog before the listener closes.

--- a/src/main/java/laurelkeel/front/ingress/ClientConn.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConn.java
@@ -1,6 +1,7 @@
 package laurelkeel.front.ingress;
 
 import java.util.ArrayDeque;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import laurelkeel.wire.HttpAnswer;
 import org.apache.mina.core.future.WriteFuture;
@@ -17,15 +18,18 @@
 
     final IoSession session;
     final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
-    /** Read and not yet begun; counted up by the thread that has the connection. */
-    final AtomicInteger posted = new AtomicInteger();
+    /** Read and not yet answered; counted up by the thread that has the connection, down as an answer is written. */
+    final AtomicInteger owed = new AtomicInteger();
+    /** Not read any more while it is looked at whether anything is owed; what is, reads on. */
+    volatile boolean retiring;
     /** Set as it opens, by the thread that has it. */
     boolean turnedAway;
-    volatile boolean busy, lastSaid;
-    boolean gone, toHead;
-    /** A whole req has come, or what was none; set by the thread that has the connection, as counted is. */
+    volatile boolean lastSaid;
+    boolean busy, gone, toHead;
+    /** A whole req has come, or what was none; set by the thread that has the connection. */
     volatile boolean asked;
-    boolean counted = true;
+    /** It has one of the places for connections. */
+    final AtomicBoolean counted = new AtomicBoolean(true);
     /** When it opened, or its last answer was handed over. */
     volatile long restsSince;
     Object current;
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -28,8 +28,6 @@
 /** The door: reads reqs off connections, hands each to the front when its turn has come, writes final answers. */
 public final class Ingress {
     private static final long SWEEP = 1_000;
-    /** What a socket thread had in hand has long come by then. */
-    private static final long SETTLE = 500;
     private static final AttributeKey CONN = new AttributeKey(Ingress.class, "conn");
 
     private final IngressSettings set;
@@ -53,7 +51,7 @@
         this.threads = threads;
         this.processors = processors;
         this.door = door;
-        acceptor = new NioSocketAcceptor(threads, processors);
+        acceptor = new LastCall(threads, processors);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(8192);
         // at a drain the port goes first, and what is held on open connections is still answered
@@ -86,21 +84,68 @@
         }
     }
 
-    private void sweep() {
+    /** On the front's thread. */
+    void sweep() {
         long now = loop.now();
         for (IoSession s : acceptor.getManagedSessions().values()) {
-            if (s.getAttribute(CONN) instanceof ClientConn conn && !conn.busy && !conn.lastSaid) {
-                long half = HttpCodec.halfSince(s);
-                if (half != 0 && (System.nanoTime() - half) / 100_000 > set.halfReq()) {
+            if (s.getAttribute(CONN) instanceof ClientConn conn && nothingOwed(conn)) {
+                long half = halfFor(conn);
+                if (half > set.halfReq()) {
                     conn.write(words.refusal(new BadHttp(408, "the req did not come whole in time"), null), true);
                 } else if (half == 0 && !conn.asked && now - conn.restsSince > set.firstReq()) {
-                    s.closeNow();
+                    retire(conn, false);
                 }
             }
         }
         loop.at(now + SWEEP, this::sweep);
     }
 
+    private static boolean nothingOwed(ClientConn c) {
+        return c.owed.get() == 0 && !c.lastSaid;
+    }
+
+    /** How long a req of it has been half read; 0 where none is. */
+    private static long halfFor(ClientConn c) {
+        long half = HttpCodec.halfSince(c.session);
+        return half == 0 ? 0 : Math.max(1, (System.nanoTime() - half) / 100_000);
+    }
+
+    /**
+     * The one way to end a connection that seems to owe nothing; on any thread. It is no longer read, and then looked at
+     * by the thread that reads it: a req that was read meanwhile would be lost with a close, while one that stays
+     * unread is sent again elsewhere.
+     *
+     * @param halfToo even where a req has begun to come
+     */
+    private void retire(ClientConn c, boolean halfToo) {
+        c.retiring = true;
+        c.session.suspendRead();
+        c.session.write(HttpCodec.Mark.MARK).addListener(f -> {
+            if (nothingOwed(c) && (halfToo || HttpCodec.halfSince(c.session) == 0)) {
+                c.session.closeNow();
+            } else {
+                c.retiring = false;
+                if (c.counted.compareAndSet(false, true)) {
+                    connections.incrementAndGet();
+                }
+                readOn(c);
+            }
+        });
+    }
+
+    /** Unless too much of it waits, or it is being looked at. */
+    private void readOn(ClientConn c) {
+        if (c.owed.get() <= set.pipelined() && !c.retiring && c.session.isReadSuspended()) {
+            c.session.resumeRead();
+        }
+    }
+
+    private void uncount(ClientConn c) {
+        if (c.counted.compareAndSet(true, false)) {
+            connections.decrementAndGet();
+        }
+    }
+
     /**
      * All places are taken: silent connections that never asked give theirs first, the oldest of them, then those
      * idle longest. By the thread that opens one, or a burst would be over before room is made.
@@ -108,7 +153,7 @@
     private void makeRoom(ClientConn newest) {
         ClientConn first = null;
         for (IoSession s : acceptor.getManagedSessions().values()) {
-            if (s.getAttribute(CONN) instanceof ClientConn c && c != newest && !c.busy && !c.lastSaid && !s.isClosing()
+            if (s.getAttribute(CONN) instanceof ClientConn c && c != newest && nothingOwed(c) && !c.retiring && !s.isClosing()
                     && (!c.asked || HttpCodec.halfSince(s) == 0 && loop.clock() - c.restsSince > set.keep())
                     && (first == null || !c.asked && first.asked
                     || c.asked == first.asked && c.restsSince < first.restsSince)) {
@@ -116,36 +161,18 @@
             }
         }
         if (first != null) {
-            // not read any more: a req that this thread would read before it closes would be lost
-            first.session.suspendRead();
-            first.session.closeNow();
-            connections.decrementAndGet();
-            first.counted = false;
+            uncount(first);
+            retire(first, !first.asked);
         }
     }
 
-    /**
-     * Closes, on the front's thread, what has no req in progress or begun. Each is no longer read first, and looked at
-     * again once what was read before that has come: a req that was read and met a close would be lost, while one
-     * that stays unread is sent again elsewhere.
-     */
+    /** Closes what has no req in progress or begun. */
     public void closeIdle() {
         for (IoSession s : acceptor.getManagedSessions().values()) {
-            if (s.getAttribute(CONN) instanceof ClientConn c && !c.busy && !c.lastSaid) {
-                s.suspendRead();
+            if (s.getAttribute(CONN) instanceof ClientConn c && nothingOwed(c) && !c.retiring) {
+                retire(c, false);
             }
         }
-        loop.at(loop.now() + SETTLE, () -> {
-            for (IoSession s : acceptor.getManagedSessions().values()) {
-                if (s.isReadSuspended() && s.getAttribute(CONN) instanceof ClientConn c) {
-                    if (c.busy || c.posted.get() > 0 || HttpCodec.halfSince(s) != 0) {
-                        s.resumeRead();
-                    } else {
-                        s.closeNow();
-                    }
-                }
-            }
-        });
     }
 
     /** Closes all, after what is written has left or a second has passed. */
@@ -164,6 +191,15 @@
         return connections.get();
     }
 
+    /** Connections of which a req has come in part. */
+    int halfRead() {
+        return (int) acceptor.getManagedSessions().values().stream().filter(s -> HttpCodec.halfSince(s) != 0).count();
+    }
+
+    NioSocketAcceptor acceptor() {
+        return acceptor;
+    }
+
     /** Bytes of reqs' bodies that are held, half read or whole. */
     public long bodies() {
         return room.held();
@@ -212,11 +248,9 @@
             } else if (message instanceof HttpReq || message instanceof BadHttp) {
                 conn.asked = true;
                 // counted here, not by the loop: while that is held up, a client that pours must wait too
-                if (conn.posted.incrementAndGet() >= set.pipelined()) {
+                if (conn.owed.incrementAndGet() > set.pipelined()) {
                     session.suspendRead();
-                    if (conn.posted.get() < set.pipelined()) {
-                        session.resumeRead();
-                    }
+                    readOn(conn);
                 }
                 // all that the names say is read here, so that the one thread that decides need not
                 Object read = message instanceof HttpReq http ? understood(http)
@@ -231,11 +265,10 @@
         @Override
         public void sessionIdle(IoSession session, IdleStatus status) {
             ClientConn conn = (ClientConn) session.getAttribute(CONN);
-            loop.post(() -> {
-                if (!conn.busy) {
-                    conn.session.closeNow();
-                }
-            });
+            // by the thread that reads it: nothing can be read between the look and the close
+            if (nothingOwed(conn) && (halfFor(conn) == 0 || halfFor(conn) > set.idleClose())) {
+                session.closeNow();
+            }
         }
 
         @Override
@@ -252,9 +285,7 @@
         @Override
         public void sessionClosed(IoSession session) {
             ClientConn conn = (ClientConn) session.getAttribute(CONN);
-            if (conn.counted) {
-                connections.decrementAndGet();
-            }
+            uncount(conn);
             loop.post(() -> {
                 conn.gone = true;
                 empty(conn);
@@ -307,9 +338,6 @@
     private void next(ClientConn conn) {
         while (!conn.busy && !conn.gone && !conn.lastSaid && !conn.waiting.isEmpty()) {
             ClientConn.Waiting w = conn.waiting.poll();
-            if (conn.posted.decrementAndGet() < set.pipelined() / 2 + 1 && conn.session.isReadSuspended()) {
-                conn.session.resumeRead();
-            }
             begin(conn, w.message(), w.arrived());
         }
     }
@@ -319,6 +347,7 @@
         if (message instanceof Refusal r) {
             conn.toHead = r.toHead;
             conn.write(r.answer, r.last);
+            owesLess(conn);
         } else if (message instanceof HttpReq own) {
             conn.busy = true;
             door.own(conn, own);
@@ -332,6 +361,7 @@
                 over(asked);
                 boolean last = door.draining() || asked.last();
                 conn.write(shedAtDoor(full ? "this front is full" : "this front is stopping", last), last);
+                owesLess(conn);
                 return;
             }
             conn.busy = true;
@@ -339,6 +369,12 @@
         }
     }
 
+    private void owesLess(ClientConn conn) {
+        if (conn.owed.decrementAndGet() <= set.pipelined() / 2 + 1) {
+            readOn(conn);
+        }
+    }
+
     /** The final answer of the req in progress; its connection's next one begins once this is written. */
     public void answer(ClientConn conn, boolean last, HttpAnswer answer) {
         boolean ends = last || door.draining();
@@ -389,6 +425,7 @@
     private void written(ClientConn conn, Supplier<WriteFuture> write) {
         WriteFuture written = write.get();
         conn.restsSince = loop.now();
+        owesLess(conn);
         if (conn.gone || conn.waiting.isEmpty()) {
             conn.busy = false;
         } else {
--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -21,6 +21,9 @@
     /** Bytes as they are, for peers that misbehave on purpose. */
     public record Raw(byte[] bytes) { }
 
+    /** No bytes: what is written for it is told by the thread that has the connection, once all before it has left. */
+    public enum Mark { MARK }
+
     private static final AttributeKey READER = new AttributeKey(HttpCodec.class, "reader");
     private static final AttributeKey ASKED = new AttributeKey(HttpCodec.class, "asked");
     private static final AttributeKey TO_HEAD = new AttributeKey(HttpCodec.class, "toHead");
@@ -174,7 +177,7 @@
                 out.write(HttpWriter.write(a));
             } else if (message instanceof Raw r) {
                 out.write(IoBuffer.wrap(r.bytes()));
-            } else {
+            } else if (message != Mark.MARK) {
                 throw new IllegalArgumentException("not an HTTP message: " + message.getClass());
             }
         }
--- a/src/test/java/laurelkeel/front/Peers.java
+++ b/src/test/java/laurelkeel/front/Peers.java
@@ -132,7 +132,7 @@
     }
 
     /** One message: its head, and as much body as its length says. */
-    static String hear(Socket s) throws IOException {
+    public static String hear(Socket s) throws IOException {
         return hear(s.getInputStream());
     }
 
--- /dev/null
+++ b/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
@@ -0,0 +1,292 @@
+package laurelkeel.front.ingress;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import laurelkeel.front.Peers;
+import laurelkeel.front.Rig;
+import laurelkeel.loop.Loop;
+import laurelkeel.loop.Threads;
+import laurelkeel.wire.BadHttp;
+import laurelkeel.wire.Headers;
+import laurelkeel.wire.HttpAnswer;
+import laurelkeel.wire.HttpLimits;
+import laurelkeel.wire.HttpReq;
+import org.apache.mina.core.filterchain.IoFilterAdapter;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.DefaultIoSessionDataStructureFactory;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.core.session.IoSessionAttributeMap;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Whatever ends a client's connection, no req that was read off it goes without its answer. */
+class ConnectionEndsTest {
+    private static final String ASK = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    private final AtomicLong clock = new AtomicLong(1_000_000);
+    private final Loop loop = new Loop(clock::get);
+    private final ExecutorService threads = Threads.many(loop, "test-sockets");
+    private final List<Socket> clients = new ArrayList<>();
+    private Ingress ingress;
+    private int port;
+
+    private void made(int connections, long idleClose) {
+        ingress = new Ingress(new IngressSettings(new InetSocketAddress("127.0.0.1", 0), new HttpLimits(2048, 8192, 64, 1024),
+                connections, 4, 100, 8192, 4, idleClose, 100_000, 1, 0, 5_500, 24_000, 20_000, 21_000), new Words(), loop,
+                threads, new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null), new Answering());
+    }
+
+    private void opened(int connections, long idleClose) throws IOException {
+        made(connections, idleClose);
+        port = ingress.open().getPort();
+    }
+
+    private void runLoop() {
+        new Thread(() -> loop.run(() -> {
+            ingress.flush();
+            return false;
+        })).start();
+    }
+
+    private Socket client() throws IOException {
+        Socket s = new Socket("127.0.0.1", port);
+        s.setSoTimeout(10_000);
+        clients.add(s);
+        return s;
+    }
+
+    private static boolean answered(Socket s) throws IOException {
+        return Peers.hear(s).startsWith("HTTP/1.1 200 ");
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        for (Socket s : clients) {
+            s.close();
+        }
+        loop.stop();
+        ingress.close();
+    }
+
+    /** Every req is for the front itself. */
+    private static final class Words implements ClientWords {
+        @Override
+        public boolean own(HttpReq http) {
+            return true;
+        }
+
+        @Override
+        public Asked asked(HttpReq http) {
+            throw new AssertionError("all are its own");
+        }
+
+        @Override
+        public HttpAnswer refusal(BadHttp bad, HttpReq http) {
+            return new HttpAnswer(bad.status(), new Headers(), new byte[0]);
+        }
+
+        @Override
+        public HttpAnswer atDoor(String why) {
+            return new HttpAnswer(503, new Headers(), new byte[0]);
+        }
+
+        @Override
+        public HttpAnswer shed(long after, String why) {
+            return atDoor(why);
+        }
+
+        @Override
+        public HttpAnswer errored(boolean late, String why) {
+            return new HttpAnswer(502, new Headers(), new byte[0]);
+        }
+    }
+
+    /** Answers each at once. */
+    private final class Answering implements Door {
+        @Override
+        public void taken(ClientConn from, Asked asked, long arrived) { }
+
+        @Override
+        public void own(ClientConn from, HttpReq http) {
+            ingress.answer(from, false, new HttpAnswer(200, new Headers(), new byte[0]));
+        }
+
+        @Override
+        public void left(Object current) { }
+
+        @Override
+        public int held() {
+            return 0;
+        }
+
+        @Override
+        public boolean draining() {
+            return false;
+        }
+    }
+
+    /** Holds what the socket thread has read off a connection, before anything is made of it. */
+    private static final class Hold extends IoFilterAdapter {
+        final CountDownLatch read = new CountDownLatch(1), go = new CountDownLatch(1);
+
+        @Override
+        public void messageReceived(NextFilter next, IoSession session, Object message) throws Exception {
+            read.countDown();
+            go.await();
+            next.messageReceived(session, message);
+        }
+    }
+
+    /** The loop comes to end what seems idle while the socket thread has a req of it in hand. */
+    private void endsWhileOneIsInHand(long older, Runnable end) throws Exception {
+        Hold hold = new Hold();
+        ingress.acceptor().getFilterChain().addFirst("hold", hold);
+        Socket c = client();
+        Peers.say(c, ASK);
+        assertTrue(hold.read.await(10, TimeUnit.SECONDS));
+        clock.addAndGet(older);
+        end.run();
+        CountDownLatch passed = new CountDownLatch(1);
+        loop.at(clock.addAndGet(10_000), passed::countDown);
+        runLoop();
+        assertTrue(passed.await(10, TimeUnit.SECONDS));
+        hold.go.countDown();
+        assertTrue(answered(c), "what was read is answered");
+        Peers.say(c, ASK);
+        assertTrue(answered(c), "and the connection is read on");
+    }
+
+    @Test
+    void aDrainEndsNoConnectionWhoseReqIsBeingRead() throws Exception {
+        opened(10, 600_000);
+        endsWhileOneIsInHand(0, ingress::closeIdle);
+    }
+
+    @Test
+    void aFirstReqThatIsBeingReadIsNotTooLate() throws Exception {
+        opened(10, 600_000);
+        endsWhileOneIsInHand(30_000, ingress::sweep);
+    }
+
+    @Test
+    void aConnectionWithNothingInHandEndsAtOnceAtADrain() throws Exception {
+        opened(10, 600_000);
+        Socket c = client(), half = client();
+        runLoop();
+        Peers.say(c, ASK);
+        assertTrue(answered(c));
+        Peers.say(half, ASK.substring(0, 9));
+        Rig.await("half is read", () -> ingress.halfRead() == 1);
+        ingress.closeIdle();
+        assertEquals("<end>", Peers.hear(c));
+        Peers.say(half, ASK.substring(9));
+        assertTrue(answered(half));
+    }
+
+    @Test
+    void roomIsNeverMadeOfAConnectionWhoseReqWaitsForTheLoop() throws Exception {
+        opened(2, 600_000);
+        Socket a = client(), b = client();
+        runLoop();
+        for (Socket s : List.of(a, b)) {
+            Peers.say(s, ASK);
+            assertTrue(answered(s));
+            clock.addAndGet(10);
+        }
+        // the loop is held up from here on, and both have rested for long
+        CountDownLatch held = new CountDownLatch(1), go = new CountDownLatch(1);
+        loop.post(() -> {
+            held.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        clock.addAndGet(30_000);
+        Peers.say(a, ASK);
+        Rig.await("read", () -> loop.backlog() >= 1);
+        client();
+        assertEquals("<end>", Peers.hear(b), "the other gives its place, though it has rested for less");
+        go.countDown();
+        assertTrue(answered(a));
+    }
+
+    @Test
+    void anIdleConnectionEndsOrIsAnsweredButNeverBoth() throws Exception {
+        opened(10, 10_000);
+        Socket c = client();
+        c.setSoTimeout(1);
+        boolean[] ended = new boolean[1];
+        Rig.await("it has been idle for long", () -> {
+            try {
+                ended[0] = ended[0] || c.getInputStream().read() < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                // open, and silent
+            } catch (IOException e) {
+                ended[0] = true;
+            }
+            return ended[0] || loop.backlog() > 0;
+        });
+        if (!ended[0]) {
+            int before = loop.backlog();
+            Peers.say(c, ASK);
+            Rig.await("read", () -> loop.backlog() > before);
+            runLoop();
+            c.setSoTimeout(10_000);
+            assertTrue(answered(c));
+        }
+    }
+
+    /** Holds up the acceptor's thread at each connection that it takes. */
+    private static final class Slow extends DefaultIoSessionDataStructureFactory {
+        final CountDownLatch first = new CountDownLatch(1), go = new CountDownLatch(1);
+
+        @Override
+        public IoSessionAttributeMap getAttributeMap(IoSession session) throws Exception {
+            first.countDown();
+            go.await();
+            return super.getAttributeMap(session);
+        }
+    }
+
+    @Test
+    void whatTheKernelHasAcceptedIsTakenBeforeTheListenerCloses() throws Exception {
+        Slow slow = new Slow();
+        made(10, 600_000);
+        ingress.acceptor().setSessionDataStructureFactory(slow);
+        port = ingress.open().getPort();
+        runLoop();
+        Socket held = client();
+        assertTrue(slow.first.await(10, TimeUnit.SECONDS));
+        List<Socket> behind = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            Socket s = client();
+            Peers.say(s, ASK);
+            behind.add(s);
+        }
+        Thread ends = new Thread(ingress::unbind);
+        ends.start();
+        Rig.await("it waits to be unbound", () -> ends.getState() == Thread.State.WAITING
+                || ends.getState() == Thread.State.TIMED_WAITING);
+        slow.go.countDown();
+        ends.join();
+        for (Socket s : behind) {
+            assertTrue(answered(s));
+        }
+        Peers.say(held, ASK);
+        assertTrue(answered(held));
+    }
+}
