Attempts are written as of their moment; lists of any layout or age; silence leaves three tries

Exchange now asks for its bytes as it is written; that also looks again at a redial whether it may still go (client left, time over, machine drains). - Pools.rested did not hand a freed place to another machine's attempt that waits (Pools.dial, starved); a new connection rested. - A list laid out over lines was spoilt for ever (Cutter). Values reads JSON objects off any pieces, to a bound. - A whole list older than the one held was followed at once, and could bring a drained machine back. It is not, and the watch is asked anew, until such lists have come for 6 s, after which discovery has begun anew. - A silent watch was given up after 4.5 s, which left a second silent one no time before 6 s: 3 s now (an empty line comes each 2 s, and asking the agent costs nothing). What counts is what was told, not bytes that never become whole. - Two SIGHUPs at once could follow the older file last: Serve.reread goes one after the other (no test yet).

--- a/src/main/java/laurelkeel/cli/Serve.java
+++ b/src/main/java/laurelkeel/cli/Serve.java
@@ -44,8 +44,11 @@
         return failure == null ? 0 : Cli.FAILED;
     }
 
-    /** A file may be read while it is being replaced: one that cannot be followed is read again for two seconds. */
-    static void reread(Path file, Map<String, String> env, Node node) {
+    /**
+     * A file may be read while it is being replaced: one that cannot be followed is read again for two seconds. One
+     * signal after the other, or a file that was replaced since could be followed last.
+     */
+    static synchronized void reread(Path file, Map<String, String> env, Node node) {
         String why = "";
         for (int i = 0; i < REREADS; i++) {
             try {
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -314,7 +314,7 @@
     private void probe(String machine) {
         long at = loop.now();
         boolean[] over = new boolean[1];
-        Exchange e = pools.start(outfit.place(machine), words.probe(lines, machine), false, () -> true, (outcome, came) -> {
+        Exchange e = pools.start(outfit.place(machine), () -> words.probe(lines, machine), false, (outcome, came) -> {
             over[0] = true;
             pools.over(came);
             events.add(new Event.Probed(machine, outcome, loop.now() - at, load(came)));
@@ -344,13 +344,16 @@
         }
         outfit.tried(h.asked.route());
         long limit = s.within() == 0 ? h.leaves : Math.min(h.leaves, loop.now() + Math.max(0, s.within()));
-        sent.exchange = pools.start(outfit.place(s.machine()), upstream(h, sent, limit), h.asked.toHead(),
-                () -> !h.answered && loop.now() < h.leaves && outfit.stillMay(sent.machine, sent.at),
+        sent.exchange = pools.start(outfit.place(s.machine()), () -> upstream(h, sent, limit), h.asked.toHead(),
                 (outcome, came) -> ended(h, sent, outcome, came));
         sent.limit = loop.at(limit, () -> ended(h, sent, sent.exchange.end(Outcome.TIMEOUT), null));
     }
 
+    /** Null where the try had to wait, and may not be written any more. */
     private byte[] upstream(Held h, Held.Sent sent, long limit) {
+        if (loop.now() > sent.at && (h.answered || loop.now() >= h.leaves || !outfit.stillMay(sent.machine, sent.at))) {
+            return null;
+        }
         words.upstream(lines, sent.machine, sent.no, h.leaves - loop.now(), limit - loop.now());
         return h.asked.crossing().with(lines, true);
     }
--- a/src/main/java/laurelkeel/front/upstream/Exchange.java
+++ b/src/main/java/laurelkeel/front/upstream/Exchange.java
@@ -1,6 +1,6 @@
 package laurelkeel.front.upstream;
 
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import laurelkeel.api.Event.Outcome;
 import laurelkeel.loop.Loop;
 
@@ -14,10 +14,9 @@
     }
 
     final Pool pool;
-    final byte[] message;
+    /** Its bytes at the moment they are written, for they tell what time is left; null where it may not be any more. */
+    final Supplier<byte[]> message;
     final boolean toHead;
-    /** Asked where it had to wait for a connection: whether it may still be written. */
-    final BooleanSupplier still;
     final Heard heard;
     Conn on;
     long writtenBefore, writtenAt;
@@ -25,11 +24,10 @@
     boolean over;
     Loop.Alarm dialLimit;
 
-    Exchange(Pool pool, byte[] message, boolean toHead, BooleanSupplier still, Heard heard) {
+    Exchange(Pool pool, Supplier<byte[]> message, boolean toHead, Heard heard) {
         this.pool = pool;
         this.message = message;
         this.toHead = toHead;
-        this.still = still;
         this.heard = heard;
     }
 
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import laurelkeel.api.Event.Outcome;
 import laurelkeel.loop.Loop;
 import laurelkeel.wire.BadHttp;
@@ -99,12 +99,13 @@
     /**
      * Writes a whole req to a machine, on an idle connection or a new one.
      *
+     * @param message asked for the req's bytes at the moment it is written, which may be long after; null where it may
+     *     not be written any more
      * @param toHead its answer has no body
-     * @param still asked where the req had to wait for a connection: whether it may still be written
      */
-    public Exchange start(Place place, byte[] message, boolean toHead, BooleanSupplier still, Exchange.Heard heard) {
+    public Exchange start(Place place, Supplier<byte[]> message, boolean toHead, Exchange.Heard heard) {
         Pool pool = pools.computeIfAbsent(place.key(), k -> new Pool(place));
-        Exchange e = new Exchange(pool, message, toHead, still, heard);
+        Exchange e = new Exchange(pool, message, toHead, heard);
         if (place.at() == null || pool.waiting.size() >= set.waiting() && pool.idle.isEmpty()) {
             loop.post(() -> e.tell(Outcome.NO_CONNECTION, null));
         } else {
@@ -120,7 +121,9 @@
                 idle.remove();
             } else if (c.idleSince + set.rest() <= loop.now()) {
                 idle.remove();
-                write(c, e);
+                if (!write(c, e)) {
+                    free(c);
+                }
                 return;
             }
         }
@@ -134,7 +137,13 @@
         dial(e.pool);
     }
 
-    private void write(Conn c, Exchange e) {
+    /** False where it may not be written any more; that is told. */
+    private boolean write(Conn c, Exchange e) {
+        byte[] bytes = e.message.get();
+        if (bytes == null) {
+            loop.post(() -> e.tell(Outcome.NOT_SENT, null));
+            return false;
+        }
         if (e.dialLimit != null) {
             e.dialLimit.cancel();
             e.dialLimit = null;
@@ -147,7 +156,8 @@
             HttpCodec.nextIsToHead(c.session);
         }
         HttpCodec.asks(c.session);
-        c.session.write(IoBuffer.wrap(e.message));
+        c.session.write(IoBuffer.wrap(bytes));
+        return true;
     }
 
     private void dial(Pool pool) {
@@ -205,7 +215,8 @@
             pool.open++;
             open++;
             session.setAttribute(CONN, c);
-            c.idleSince = loop.now();
+            // nothing can come behind an answer that there was not
+            c.idleSince = loop.now() - set.rest();
             free(c);
         } else {
             Exchange e = pool.waiting.pollFirst();
@@ -227,29 +238,25 @@
             return;
         }
         for (Exchange next = c.pool.waiting.pollFirst(); next != null; next = c.pool.waiting.pollFirst()) {
-            if (next.still.getAsBoolean()) {
-                write(c, next);
+            if (write(c, next)) {
                 return;
             }
-            Exchange late = next;
-            loop.post(() -> late.tell(Outcome.NOT_SENT, null));
         }
         if (!starved.isEmpty()) {
             c.session.closeNow();
             return;
         }
-        c.idleSince = loop.now();
         c.pool.idle.addFirst(c);
     }
 
     /** After an answer: more may come behind it, and must not meet another req's wait. */
     private void rested(Conn c) {
+        c.idleSince = loop.now();
         if (set.rest() == 0) {
             free(c);
         } else {
-            c.idleSince = loop.now();
             c.pool.idle.addFirst(c);
-            if (!c.pool.waiting.isEmpty()) {
+            if (!c.pool.waiting.isEmpty() || !starved.isEmpty()) {
                 loop.at(loop.now() + set.rest(), () -> {
                     if (c.pool.idle.remove(c)) {
                         free(c);
--- a/src/main/java/laurelkeel/platform/Discovery.java
+++ b/src/main/java/laurelkeel/platform/Discovery.java
@@ -1,5 +1,6 @@
 package laurelkeel.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -15,13 +16,16 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Discovery's watch: a chunked answer that stays open, a line for each change of the list. Loop only. */
+/** Discovery's watch: a chunked answer that stays open, an object for each change of the list. Loop only. */
 final class Discovery {
-    /** An empty line comes every two seconds. */
-    private static final long SILENCE = 45_000;
-    /** A whole list is one line: some 200 bytes a machine, for thousands of machines. */
-    private static final int LONGEST_LINE = 1 << 20;
-    private static final HttpLimits LIMITS = new HttpLimits(1 << 10, 8 << 10, 64, LONGEST_LINE);
+    /**
+     * An empty line comes every two seconds, and what a silent watch misses counts as told six after it fell silent: a
+     * second one that is silent too must leave time for a third.
+     */
+    private static final long SILENCE = 30_000;
+    /** Some 200 bytes a machine, twice that where they come indented, for thousands of machines. */
+    private static final int LARGEST = 1 << 20;
+    private static final HttpLimits LIMITS = new HttpLimits(1 << 10, 8 << 10, 64, LARGEST);
 
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
 
@@ -35,11 +39,11 @@
     private final class Reading implements Feed.Ear {
         private final List<byte[]> parts = new ArrayList<>();
         private final HttpParser parser = HttpParser.streamed(LIMITS, parts::add);
-        private final Cutter cutter = new Cutter(LONGEST_LINE);
+        private final Values values = new Values(LARGEST);
 
         @Override
         public boolean take(byte[] bytes, long arrived) throws Spoilt {
-            boolean[] told = new boolean[1];
+            boolean told = false;
             try {
                 ByteBuffer in = ByteBuffer.wrap(bytes);
                 while (in.hasRemaining()) {
@@ -48,10 +52,7 @@
                         throw new Spoilt("status " + parser.status());
                     }
                     for (byte[] part : parts) {
-                        cutter.take(part, text -> {
-                            told[0] = true;
-                            line(text);
-                        });
+                        told |= values.take(part, Discovery.this::told);
                     }
                     parts.clear();
                     if (whole) {
@@ -61,7 +62,7 @@
             } catch (BadHttp e) {
                 throw new Spoilt(e.getMessage());
             }
-            return told[0];
+            return told;
         }
     }
 
@@ -76,16 +77,15 @@
         }, Reading::new);
     }
 
-    private void line(String text) throws Spoilt {
-        if (!text.isBlank()) {
-            Event.MachineList list = machines.line(text, loop.now());
-            heard = true;
-            if (Front.TRACE) {
-                LOG.info("trace list {}", text.length() > 2_000 ? text.substring(0, 2_000) : text);
-            }
-            if (list != null) {
-                to.accept(list);
-            }
+    private void told(JsonNode value) throws Spoilt {
+        Event.MachineList list = machines.told(value, loop.now());
+        heard = true;
+        if (Front.TRACE) {
+            String text = value.toString();
+            LOG.info("trace list {}", text.length() > 2_000 ? text.substring(0, 2_000) : text);
+        }
+        if (list != null) {
+            to.accept(list);
         }
     }
 
--- a/src/main/java/laurelkeel/platform/Feed.java
+++ b/src/main/java/laurelkeel/platform/Feed.java
@@ -42,20 +42,19 @@
         private final Ear ear = ears.get();
         private final InetSocketAddress where = at;
         private final long since = loop.now();
-        private long heardAt = since;
+        /** When it last told something, and when bytes of it last came, which may be of something not yet whole. */
+        private long toldAt = since, bytesAt = since;
         private final Links.Link link = links.open(at, opening.get(), this);
 
         @Override
         public void bytes(byte[] bytes, long arrived) {
-            heardAt = loop.now();
+            bytesAt = loop.now();
             try {
-                if (ear.take(bytes, arrived) && beside == this) {
-                    if (current != null) {
-                        current.link.close();
+                if (ear.take(bytes, arrived)) {
+                    toldAt = bytesAt;
+                    if (beside == this) {
+                        replaces();
                     }
-                    current = this;
-                    beside = null;
-                    pause.well();
                 }
             } catch (Spoilt e) {
                 LOG.warn("{} said what cannot be read and is asked anew: {}", name, e.getMessage());
@@ -64,6 +63,15 @@
             }
         }
 
+        private void replaces() {
+            if (current != null) {
+                current.link.close();
+            }
+            current = this;
+            beside = null;
+            pause.well();
+        }
+
         @Override
         public void closed(boolean written) {
             LOG.warn("{}: the connection ended", name);
@@ -71,7 +79,7 @@
         }
     }
 
-    /** @param silence after so long without a byte another connection is opened beside */
+    /** @param silence after so long with nothing told another connection is opened beside */
     Feed(String name, Links links, Loop loop, long seed, long silence, Supplier<byte[]> opening, Supplier<Ear> ears) {
         this.name = name;
         this.links = links;
@@ -128,12 +136,12 @@
             return;
         }
         long now = loop.now();
-        if (beside != null && now > beside.since + FIRST_WORD) {
+        if (beside != null && (now > beside.bytesAt + FIRST_WORD || now > beside.since + silence)) {
             drop();
             again = now + pause.ms() * 10;
         }
         // one at an address that was given up ends soon, or is told nothing more
-        boolean silent = current == null || !current.where.equals(at) || now > current.heardAt + silence;
+        boolean silent = current == null || !current.where.equals(at) || now > current.toldAt + silence;
         if (beside == null && silent && now >= again) {
             beside = new One();
         }
--- a/src/main/java/laurelkeel/platform/Machines.java
+++ b/src/main/java/laurelkeel/platform/Machines.java
@@ -1,6 +1,5 @@
 package laurelkeel.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,6 +16,8 @@
 
 /** Discovery's list: what it says of each machine, and where each is reached. Loop only. */
 final class Machines {
+    /** What discovery knows has come after six seconds: who is older still then has begun anew. */
+    private static final long CATCH_UP = 60_000;
     private static final Map<String, MachineState> STATES = Map.of("active", MachineState.LIVE, "leaving",
             MachineState.DRAINING, "left", MachineState.GONE);
 
@@ -28,6 +29,8 @@
     private final Consumer<String> left;
     private final Map<String, Entry> entries = new HashMap<>();
     private long version = -1;
+    /** Since when whole lists come that are older than what is held; -1 while none does. */
+    private long olderSince = -1;
 
     /**
      * @param epoch the front's clock when the Unix clock stood at 0, worked out once, or jitter would pass for a start
@@ -48,13 +51,9 @@
         return entries.isEmpty();
     }
 
-    /** A line of the watch as an event; null for one that tells nothing new. */
-    Event.MachineList line(String text, long now) throws Spoilt {
-        try {
-            return read(Config.JSON.readTree(text), false, now);
-        } catch (JsonProcessingException e) {
-            throw new Spoilt("no JSON: " + Spoilt.shown(text));
-        }
+    /** What the watch tells as an event; null where it is nothing new. */
+    Event.MachineList told(JsonNode value, long now) throws Spoilt {
+        return read(value, false, now);
     }
 
     /** The list of the configuration, as this node last had it. */
@@ -65,13 +64,21 @@
     private Event.MachineList read(JsonNode line, boolean remembered, long now) throws Spoilt {
         JsonNode servers = line == null ? null : line.get("servers");
         if (servers == null || !servers.isArray() || !line.path("version").isIntegralNumber()) {
-            throw new Spoilt("no line of the list: " + Spoilt.shown(String.valueOf(line)));
+            throw new Spoilt("no list: " + Spoilt.shown(String.valueOf(line)));
         }
         boolean full = line.path("full").asBoolean(false);
         long to = line.path("version").longValue();
         if (!full && to <= version) {
             return null;
         }
+        if (full && to < version) {
+            olderSince = olderSince < 0 ? now : olderSince;
+            if (now < olderSince + CATCH_UP) {
+                // who tells it lags behind, or told it long ago: it may name machines that drain as sound ones
+                throw new Spoilt("a whole list of version " + to + ", where " + version + " is held");
+            }
+        }
+        olderSince = -1;
         // all are read before any is followed: a line that is spoilt at its end changes nothing
         List<Entry> told = new ArrayList<>();
         for (JsonNode s : servers) {
--- a/src/main/java/laurelkeel/platform/Node.java
+++ b/src/main/java/laurelkeel/platform/Node.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.LongSupplier;
 import laurelkeel.api.Action;
 import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
@@ -76,11 +77,20 @@
 
     /** A front node with the decider that maker makes; it runs once its front is started. */
     public static Node of(Config config, Decider.Maker maker) {
-        Node node = new Node(config, maker, Base.small(Base.clock()));
+        return of(config, maker, Base.clock());
+    }
+
+    /** @param clock tenths of a millisecond that only advance */
+    static Node of(Config config, Decider.Maker maker, LongSupplier clock) {
+        Node node = new Node(config, maker, Base.small(clock));
         new Front(config.settings(), door(config), machineSide(config), node.base, node);
         return node;
     }
 
+    long version() {
+        return machines.version();
+    }
+
     public Front front() {
         return front;
     }
--- /dev/null
+++ b/src/test/java/laurelkeel/platform/RareMomentsTest.java
@@ -0,0 +1,181 @@
+package laurelkeel.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import laurelkeel.api.Action;
+import laurelkeel.api.Event;
+import laurelkeel.api.Event.ListKind;
+import laurelkeel.api.Event.MachineState;
+import laurelkeel.api.Event.Outcome;
+import laurelkeel.front.Base;
+import org.junit.jupiter.api.Test;
+
+/** Orders of events that hardly ever come about, each made to come about every time. */
+class RareMomentsTest {
+    /** Real time, and what a test adds to it. */
+    private final AtomicLong ahead = new AtomicLong();
+    private final LongSupplier real = Base.clock();
+    private final LongSupplier clock = () -> real.getAsLong() + ahead.get();
+
+    // ---- lists
+
+    @Test
+    void aListMayBeLaidOutOverLinesAndCutAnywhere() throws Exception {
+        try (Stage p = new Stage(Stage::nothing)) {
+            Socket w = p.watch();
+            String indented = Stage.list(2, false, p.entry("leaving", 1, p.machine)).replace("{", "{\r\n  ").replace(",", ",\n  ")
+                    + "\r\n" + Stage.list(3, false, p.entry("active", 1, p.machine)).replace("\":", "\" :\n ");
+            for (char c : indented.toCharArray()) {
+                Stage.say(w, Stage.chunk(String.valueOf(c)));
+            }
+            assertEquals(MachineState.DRAINING, p.event(Event.MachineList.class, 2).machines().get(0).state());
+            assertEquals(MachineState.LIVE, p.event(Event.MachineList.class, 3).machines().get(0).state());
+            assertEquals(3, p.node.version());
+        }
+    }
+
+    @Test
+    void whatIsNoListEndsTheWatchAndTheLastGoodOneStays() throws Exception {
+        try (Stage p = new Stage(Stage::nothing)) {
+            for (String bad : List.of("[1]", "7 ", "{\"version\":9,\"full\":true,\"servers\":[}", "{\"version\":9,\"full\":true}",
+                    "{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"s-9\"}]}", "\1\2", "{\"a\":\"" + "x".repeat(1 << 20))) {
+                Socket w = p.discovery.call();
+                assertTrue(Stage.hear(w).contains("after=1 "), "nothing of it was followed");
+                Stage.say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Stage.chunk(bad));
+            }
+            p.discovery.call();
+            assertEquals(1, p.all(Event.MachineList.class).size());
+        }
+    }
+
+    /** Whoever lags behind, or was delayed on the way, names machines that drain as sound ones. */
+    @Test
+    void anOlderWholeListIsNotFollowedUntilItHasStoodForLong() throws Exception {
+        try (Stage p = new Stage(1024, 5000, clock, Stage::nothing)) {
+            Socket w = p.watch(Stage.list(5, false, p.entry("leaving", 1, p.machine)));
+            p.event(Event.MachineList.class, 2);
+            String old = Stage.chunk(Stage.list(4, true, p.entry("active", 1, p.machine)) + "\n");
+            Stage.say(w, old);
+            Socket next = p.discovery.call();
+            assertTrue(Stage.hear(next).contains("after=5 "));
+            Stage.say(next, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + old);
+            next = p.discovery.call();
+            Stage.hear(next);
+            assertEquals(2, p.all(Event.MachineList.class).size());
+            // discovery has begun anew: nothing newer comes for longer than it may take
+            ahead.addAndGet(61_000);
+            Stage.say(next, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + old);
+            assertEquals(ListKind.FULL, p.event(Event.MachineList.class, 3).kind());
+        }
+    }
+
+    // ---- a watch that falls silent
+
+    /** What it misses counts as told 6 s after it fell silent; the clock stands but for what the test adds, 5.1 s in all. */
+    @Test
+    void aSecondSilentWatchLeavesTimeForAThird() throws Exception {
+        AtomicBoolean goes = new AtomicBoolean();
+        try (Stage p = new Stage(1024, 5000, () -> (goes.get() ? real.getAsLong() : 36_000_000) + ahead.get(), Stage::nothing)) {
+            p.watch(Stage.list(2, false, p.entry("active", 1, p.machine)));
+            p.event(Event.MachineList.class, 2);
+            Stage.lines(p.desk.call()).readLine();
+            ahead.addAndGet(32_000);
+            Socket second = p.discovery.call();
+            Stage.hear(second);
+            ahead.addAndGet(8_000);
+            assertTrue(Stage.hear(second).contains("<end>"));
+            ahead.addAndGet(10_500);
+            Socket third = p.discovery.call();
+            assertTrue(Stage.hear(third).contains("after=2 "));
+            // bytes that never become anything are no sign of life for ever
+            Stage.say(third, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Stage.chunk("{\"version\":"));
+            ahead.addAndGet(40_000);
+            assertTrue(Stage.hear(third).contains("<end>"));
+            // for its drain
+            goes.set(true);
+        }
+    }
+
+    // ---- an attempt that waits for its connection
+
+    /** Takes all eight connections that so small a node may have to machines; returns who asked, then the machine's side. */
+    private static List<List<Socket>> takeAll(Stage p) throws Exception {
+        List<Socket> asking = new ArrayList<>(), machine = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Socket c = p.client();
+            Stage.say(c, Stage.look("a" + i, ""));
+            asking.add(c);
+            Socket m = p.machine.call();
+            Stage.hear(m);
+            machine.add(m);
+        }
+        return List.of(asking, machine);
+    }
+
+    /** Sends the first eight reqs to one machine, and the others as asked. */
+    private static List<Action> then(String machine, Event e) {
+        if (e instanceof Event.Req r) {
+            return List.of(new Action.Send(r.id(), machine, 0));
+        }
+        return e instanceof Event.TryEnded t && !t.reqOver() ? List.of(new Action.Err(t.req())) : List.of();
+    }
+
+    private Stage small(String ninth) throws Exception {
+        return new Stage(64, 5000, clock, (p, e) -> then(p.all(Event.Req.class).size() <= 8 ? "s-1" : ninth, e));
+    }
+
+    @Test
+    void anAttemptTellsTheTimeThatIsLeftAsItIsWritten() throws Exception {
+        try (Stage p = small("s-1")) {
+            List<List<Socket>> all = takeAll(p);
+            Socket late = p.client();
+            Stage.say(late, Stage.look("late", ""));
+            p.event(Event.Req.class, 9);
+            ahead.addAndGet(8_000);
+            Stage.say(all.get(1).get(0), Stage.ok("x"));
+            String got = Stage.hear(all.get(1).get(0));
+            assertTrue(got.contains("X-Correlation-Id: late\r\n") && got.contains("X-Time-Left: 3."), got);
+        }
+    }
+
+    @Test
+    void anAttemptWhoseClientLeavesWhileItWaitsIsNotWritten() throws Exception {
+        try (Stage p = small("s-1")) {
+            List<List<Socket>> all = takeAll(p);
+            Socket leaves = p.client();
+            Stage.say(leaves, Stage.look("leaves", ""));
+            p.event(Event.Req.class, 9);
+            leaves.close();
+            p.event(Event.ClientLeft.class, 1);
+            Stage.say(all.get(1).get(0), Stage.ok("x"));
+            assertEquals(Outcome.NOT_SENT, p.event(Event.TryEnded.class, 2).outcome());
+            Socket next = p.client();
+            Stage.say(next, Stage.look("next", ""));
+            assertTrue(Stage.hear(all.get(1).get(0)).contains("X-Correlation-Id: next\r\n"));
+        }
+    }
+
+    @Test
+    void aPlaceThatBecomesFreeGoesToTheMachineThatWaitsForOne() throws Exception {
+        try (Stage.Party other = new Stage.Party(); Stage p = small("s-2")) {
+            p.watch(Stage.list(2, false, p.entry("s-2", "active", 1, other)));
+            p.event(Event.MachineList.class, 2);
+            List<List<Socket>> all = takeAll(p);
+            Socket waits = p.client();
+            Stage.say(waits, Stage.look("waits", ""));
+            p.event(Event.Req.class, 9);
+            Stage.say(all.get(1).get(0), Stage.ok("x"));
+            Socket m = other.call();
+            assertTrue(Stage.hear(m).contains("X-Correlation-Id: waits\r\n"));
+            Stage.say(m, Stage.ok("y"));
+            assertTrue(Stage.hear(waits).endsWith("y"));
+        }
+    }
+}
