--- a/src/main/java/laurelkeel/platform/Desk.java
+++ b/src/main/java/laurelkeel/platform/Desk.java
@@ -43,6 +43,7 @@
     /** A connection for votes, one at a time. */
     private final class Ballots implements Links.Heard {
         private final Cutter cutter = new Cutter(LONGEST_LINE);
+        private final InetSocketAddress where = at;
         private final Links.Link link;
         private Action.Vote vote;
         private Loop.Alarm limit;
@@ -50,7 +51,12 @@
 
         Ballots(Action.Vote first) {
             vote = first;
-            link = links.open(at, said(first), this);
+            link = links.open(where, said(first), this);
+        }
+
+        /** Whether the next vote may go on it: it may have moved while one was answered. */
+        boolean useful() {
+            return link.open() && where.equals(at) && loop.now() <= idleSince + VOTES_IDLE;
         }
 
         void say(Action.Vote next) {
@@ -150,7 +156,7 @@
     // ---- votes
 
     void vote(Action.Vote v) {
-        if (ballots != null && ballots.vote == null && (!ballots.link.open() || loop.now() > ballots.idleSince + VOTES_IDLE)) {
+        if (ballots != null && ballots.vote == null && !ballots.useful()) {
             ballots.end(Answer.ERROR);
         }
         if (ballots != null && ballots.vote != null) {
--- /dev/null
+++ b/src/test/java/laurelkeel/cli/RereadTest.java
@@ -0,0 +1,98 @@
+package laurelkeel.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import laurelkeel.front.Rig;
+import laurelkeel.platform.Config;
+import laurelkeel.platform.Node;
+import laurelkeel.platform.Stage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What SIGHUP does, in the orders that a file's replacement and two signals may take. */
+class RereadTest {
+    @TempDir
+    Path folder;
+
+    private Stage.Party first, second, third, desk;
+    private Path file;
+    private Node node;
+
+    @BeforeEach
+    void start() throws Exception {
+        first = new Stage.Party();
+        second = new Stage.Party();
+        third = new Stage.Party();
+        desk = new Stage.Party();
+        file = folder.resolve("config.json");
+        Files.writeString(file, config(first));
+        node = Node.of(Config.read(file, Map.of()), (set, seed) -> (now, events) -> List.of());
+        node.front().start();
+        first.call();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        node.front().drain();
+        for (Stage.Party p : List.of(first, second, third, desk)) {
+            p.close();
+        }
+        assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
+    }
+
+    private String config(Stage.Party discovery) {
+        return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+                + "\",\"limits\":{\"sockets\":256},\"rollouts\":{\"address\":\"" + desk.address() + "\"},\"settings\":"
+                + Stage.SETTINGS.formatted(800) + "}";
+    }
+
+    private Thread signalled() {
+        Thread t = new Thread(() -> Serve.reread(file, Map.of(), node));
+        t.start();
+        return t;
+    }
+
+    @Test
+    void aFileThatIsBeingReplacedIsReadAgain() throws Exception {
+        String next = config(second);
+        Files.writeString(file, next.substring(0, next.length() / 2));
+        Thread t = signalled();
+        Rig.await("it was read and found wanting", () -> t.getState() == Thread.State.TIMED_WAITING || !t.isAlive());
+        Files.writeString(file, next);
+        second.call();
+        t.join();
+    }
+
+    /** The first signal's reader is held in the middle of its file until the second's is done or waits for it. */
+    @Test
+    void ofTwoSignalsTheNewestFileIsFollowedLast() throws Exception {
+        Files.delete(file);
+        assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+        Path pipe = folder.resolve("pipe");
+        Thread older = signalled();
+        try (OutputStream held = Files.newOutputStream(file)) {
+            held.write(' ');
+            Files.move(file, pipe);
+            Path next = folder.resolve("next.json");
+            Files.writeString(next, config(third));
+            Files.move(next, file, StandardCopyOption.REPLACE_EXISTING);
+            Thread newer = signalled();
+            Rig.await("it is done, or waits", () -> newer.getState() == Thread.State.BLOCKED || !newer.isAlive());
+            held.write(config(second).getBytes());
+        }
+        older.join();
+        // an address that says nothing is dialled again and again, and only the last one followed is
+        third.call();
+        third.call();
+    }
+}
--- a/src/test/java/laurelkeel/platform/SourcesTest.java
+++ b/src/test/java/laurelkeel/platform/SourcesTest.java
@@ -165,6 +165,25 @@
         }
     }
 
+    @Test
+    void aVoteAfterTheDeskHasMovedGoesToItsNewAddress() throws Exception {
+        try (Stage p = new Stage(SourcesTest::voter); Stage.Party next = new Stage.Party()) {
+            p.desk.call();
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Socket old = p.desk.call();
+            assertEquals("SAY 42 1 reject", Stage.lines(old).readLine());
+            Stage.hear(c);
+            p.node.follow(p.config(p.discovery, next));
+            assertEquals("SUB", Stage.lines(next.call()).readLine());
+            // its answer comes from the old address all the same
+            Stage.say(old, "OK 42 1 Progressing 0.28 1\r\n");
+            assertEquals(Answer.OK, answered(p, 1).answer());
+            Stage.say(c, Stage.look("2", ""));
+            assertEquals("SAY 43 1 reject", Stage.lines(next.call()).readLine());
+        }
+    }
+
     /** The old address may go on without closing: it was looked at as heard, and the new one was not dialled again. */
     @Test
     void aNewAddressThatIsNotUpYetIsDialledAgainWhileTheOldOneStillSpeaks() throws Exception {
--- a/src/test/java/laurelkeel/platform/Stage.java
+++ b/src/test/java/laurelkeel/platform/Stage.java
@@ -28,8 +28,8 @@
 import laurelkeel.front.Rig;
 
 /** A front node between a machine, a discovery and a release desk whose every byte a test writes. */
-final class Stage implements AutoCloseable {
-    static final String SETTINGS = """
+public final class Stage implements AutoCloseable {
+    public static final String SETTINGS = """
             {"selfIndex":0,"balancers":2,"zone":0,"zones":["a","b"],"kinds":["m1","m2"],"membershipMode":"push",
              "services":[{"name":"look","effect":"safe","onTime":300.0,"deadline":5000.0,"points":2.0},
               {"name":"pay","effect":"keyed","dedupScope":"all","onTime":300.0,"deadline":5000.0,"points":1.0,
@@ -42,13 +42,14 @@
               "callTimeout":%d.0,"voteTtl":6000.0,"votesPerS":100.0,"countedOver":4000.0,"uncounted":3.0}}""";
 
     /** A listener of one party, and its connections as they come. */
-    static final class Party implements AutoCloseable {
+    public static final class Party implements AutoCloseable {
         final ServerSocket at = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
         final BlockingQueue<Socket> calls = new LinkedBlockingQueue<>();
         private final List<Socket> open = new CopyOnWriteArrayList<>();
+        private final Thread accepts;
 
-        Party() throws IOException {
-            Thread t = new Thread(() -> {
+        public Party() throws IOException {
+            accepts = new Thread(() -> {
                 try {
                     while (true) {
                         Socket s = at.accept();
@@ -60,15 +61,15 @@
                     // the test is over
                 }
             });
-            t.setDaemon(true);
-            t.start();
+            accepts.setDaemon(true);
+            accepts.start();
         }
 
-        String address() {
+        public String address() {
             return "127.0.0.1:" + at.getLocalPort();
         }
 
-        Socket call() throws InterruptedException {
+        public Socket call() throws InterruptedException {
             Socket s = calls.poll(10, TimeUnit.SECONDS);
             if (s == null) {
                 throw new AssertionError("nobody connected");
@@ -77,8 +78,10 @@
         }
 
         @Override
-        public void close() throws IOException {
+        public void close() throws IOException, InterruptedException {
             at.close();
+            // until it has woken from its accept the kernel takes connections for it still, and it would keep one open
+            accepts.join();
             for (Socket s : open) {
                 s.close();
             }
