A socket thread looks for stray bytes before it writes a request; dead dials are bounded

But on a slow core the socket thread may read the second one only after the loop has handed over the next request: HttpCodec.asks was set by the loop, before the write, so the stray answer passed for the next request's. LookingProcessor, the socket thread of all sides, reads without waiting right before such a write: anything there, or the end, closes the connection with no byte of the request gone, and it goes elsewhere. The same look proves 'never ran' where the machine had ended an idle connection unseen. Pools: a machine that takes connections and ends them as they come up was dialled without a pause until the dial's time was up; three dials an attempt now, then NO_CONNECTION. PoolsTest, three tests: the first two fail without the look (accept timed out: the request went to the old connection), the third without the bound (no end within 10 s).

--- a/src/main/java/laurelkeel/front/Base.java
+++ b/src/main/java/laurelkeel/front/Base.java
@@ -5,8 +5,8 @@
 import java.util.function.LongSupplier;
 import laurelkeel.loop.Loop;
 import laurelkeel.loop.Threads;
+import laurelkeel.wire.LookingProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
@@ -35,7 +35,7 @@
     /** So many socket threads for one side, or the one that all share. */
     public SimpleIoProcessorPool<NioSession> processors(int threads) {
         return shared != null ? shared
-                : new SimpleIoProcessorPool<>(NioProcessor.class, socketThreads, threads, null);
+                : new SimpleIoProcessorPool<>(LookingProcessor.class, socketThreads, threads, null);
     }
 
     /** Tenths of a millisecond since this was called, on a clock that only advances. */
--- a/src/main/java/laurelkeel/front/upstream/Conn.java
+++ b/src/main/java/laurelkeel/front/upstream/Conn.java
@@ -8,7 +8,7 @@
     final IoSession session;
     Exchange current;
     long idleSince;
-    boolean gone;
+    boolean used, gone;
 
     Conn(Pool pool, IoSession session) {
         this.pool = pool;
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -91,6 +91,10 @@
         return out;
     }
 
+    NioSocketConnector connector() {
+        return connector;
+    }
+
     /** Connections open to all machines. */
     public int open() {
         return open;
@@ -149,13 +153,14 @@
             e.dialLimit = null;
         }
         c.current = e;
+        c.used = true;
         e.on = c;
         e.writtenBefore = c.session.getWrittenBytes();
         e.writtenAt = loop.now();
         if (e.toHead) {
             HttpCodec.nextIsToHead(c.session);
         }
-        HttpCodec.asks(c.session);
+        HttpCodec.toAsk(c.session);
         c.session.write(IoBuffer.wrap(bytes));
         return true;
     }
@@ -285,10 +290,22 @@
                 e.tell(neverLeft ? Outcome.NO_CONNECTION : Outcome.BROKEN, null);
             }
         }
+        if (!c.used) {
+            diedUnused(c.pool);
+        }
         dial(c.pool);
         feed();
     }
 
+    /** A machine that takes connections and ends them at once would be dialled without a pause until the dial's time is up. */
+    private static void diedUnused(Pool pool) {
+        Exchange first = pool.waiting.peekFirst();
+        if (first != null && ++first.dials >= MOST_DIALS) {
+            pool.waiting.pollFirst();
+            first.tell(Outcome.NO_CONNECTION, null);
+        }
+    }
+
     private void answered(Conn c, Came came) {
         Exchange e = c.current;
         if (e == null) {
--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -25,6 +25,7 @@
     public enum Mark { MARK }
 
     private static final AttributeKey READER = new AttributeKey(HttpCodec.class, "reader");
+    private static final AttributeKey TO_ASK = new AttributeKey(HttpCodec.class, "toAsk");
     private static final AttributeKey ASKED = new AttributeKey(HttpCodec.class, "asked");
     private static final AttributeKey TO_HEAD = new AttributeKey(HttpCodec.class, "toHead");
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -59,13 +60,23 @@
                 new HttpCodec(HttpParser.Side.ANSWERS, limits, new Room(Long.MAX_VALUE), false));
     }
 
-    /** For connections with one request at a time, each told by asks: bytes that nothing asked for end them. */
+    /** For connections with one request at a time, each told by toAsk: bytes that nothing asked for end them. Needs LookingProcessor. */
     public static ProtocolCodecFilter client(HttpLimits limits, Room room) {
         return new ProtocolCodecFilter(new HttpCodec(HttpParser.Side.ANSWERS, limits, room, true));
     }
 
-    /** Said before a request is written, where requests go one by one. */
-    public static void asks(IoSession session) {
+    /** Said before a request is handed over to be written, where requests go one by one. */
+    public static void toAsk(IoSession session) {
+        session.setAttribute(TO_ASK, true);
+    }
+
+    /** True once for each request that is to be written now. */
+    static boolean isToAsk(IoSession session) {
+        return session.removeAttribute(TO_ASK) != null;
+    }
+
+    /** What comes from here on is an answer; by the thread that reads and writes. */
+    static void asks(IoSession session) {
         session.setAttribute(ASKED, true);
     }
 
--- /dev/null
+++ b/src/test/java/laurelkeel/front/upstream/PoolsTest.java
@@ -0,0 +1,146 @@
+package laurelkeel.front.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import laurelkeel.api.Event.Outcome;
+import laurelkeel.front.Base;
+import laurelkeel.front.Peers;
+import laurelkeel.loop.Loop;
+import laurelkeel.loop.Threads;
+import laurelkeel.wire.Crossing;
+import laurelkeel.wire.HttpAnswer;
+import laurelkeel.wire.HttpLimits;
+import laurelkeel.wire.LookingProcessor;
+import org.apache.mina.core.filterchain.IoFilterAdapter;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections to a machine in the moments in which one attempt could meet what belongs to another, or none. */
+class PoolsTest {
+    private static final MachineWords WORDS = new MachineWords() {
+        @Override
+        public Came came(HttpAnswer answer) {
+            return new Came(Outcome.COMPLETED, Crossing.of(answer, List.of()), Map.of(), answer.last());
+        }
+
+        @Override
+        public Outcome unreadable() {
+            return Outcome.BROKEN;
+        }
+    };
+
+    private final Loop loop = new Loop(Base.clock());
+    private final ExecutorService threads = Threads.many(loop, "test-sockets");
+    /** The dial's time is far longer than a test. */
+    private final Pools pools = new Pools(new UpstreamSettings(new HttpLimits(1024, 8192, 64, 1024), 8, 8, 8, 600_000, 600_000, 1,
+            "/load", 2_500, 100), WORDS, loop, threads, new SimpleIoProcessorPool<>(LookingProcessor.class, threads, 1, null));
+    private final Thread runs = new Thread(() -> loop.run(() -> false));
+    private final ServerSocket machine;
+    private final Place at;
+
+    PoolsTest() throws IOException {
+        machine = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        machine.setSoTimeout(10_000);
+        at = new Place("m", new InetSocketAddress(machine.getInetAddress(), machine.getLocalPort()));
+        runs.start();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.stop();
+        runs.join();
+        pools.close();
+        machine.close();
+    }
+
+    private record Ended(Outcome outcome, String body) { }
+
+    private CompletableFuture<Ended> start() {
+        CompletableFuture<Ended> ended = new CompletableFuture<>();
+        loop.post(() -> pools.start(at, () -> "GET / HTTP/1.1\r\n\r\n".getBytes(), false, (outcome, came) ->
+                ended.complete(new Ended(outcome, came == null ? "" : new String(came.crossing().body())))));
+        return ended;
+    }
+
+    private static Ended told(CompletableFuture<Ended> ended) throws Exception {
+        return ended.get(10, TimeUnit.SECONDS);
+    }
+
+    private static void answer(Socket machine, String body) throws IOException {
+        Peers.say(machine, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private interface Befalls {
+        void machine(Socket m) throws IOException;
+    }
+
+    /** It befalls a connection while the socket thread is held, and the loop hands over the next request meanwhile. */
+    private void theNextRequestGoesElsewhereAfter(Befalls what) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        pools.connector().getFilterChain().addFirst("hold", new IoFilterAdapter() {
+            @Override
+            public void messageReceived(NextFilter next, IoSession session, Object message) throws Exception {
+                next.messageReceived(session, message);
+                go.await();
+            }
+        });
+        CompletableFuture<Ended> first = start();
+        Socket m = machine.accept();
+        Peers.hear(m);
+        answer(m, "first");
+        assertEquals(new Ended(Outcome.COMPLETED, "first"), told(first));
+        what.machine(m);
+        CountDownLatch rested = new CountDownLatch(1);
+        loop.post(() -> loop.at(loop.now() + 200, rested::countDown));
+        rested.await();
+        CompletableFuture<Ended> second = start();
+        CountDownLatch handedOver = new CountDownLatch(1);
+        loop.post(handedOver::countDown);
+        handedOver.await();
+        go.countDown();
+        Socket again = machine.accept();
+        Peers.hear(again);
+        answer(again, "second");
+        assertEquals(new Ended(Outcome.COMPLETED, "second"), told(second));
+    }
+
+    @Test
+    void aSecondAnswerThatLiesUnreadIsNotTheNextRequests() throws Exception {
+        theNextRequestGoesElsewhereAfter(m -> answer(m, "wrong"));
+    }
+
+    /** Such a connection has provably carried nothing of it. */
+    @Test
+    void aConnectionThatEndedUnseenCarriesNoRequest() throws Exception {
+        theNextRequestGoesElsewhereAfter(Socket::close);
+    }
+
+    @Test
+    void aMachineWhoseConnectionsEndAsTheyComeUpIsDialledThreeTimesForAnAttempt() throws Exception {
+        AtomicInteger dials = new AtomicInteger();
+        pools.connector().getFilterChain().addFirst("ends", new IoFilterAdapter() {
+            @Override
+            public void sessionCreated(NextFilter next, IoSession session) throws Exception {
+                dials.incrementAndGet();
+                session.closeNow();
+                next.sessionCreated(session);
+            }
+        });
+        assertEquals(Outcome.NO_CONNECTION, told(start()).outcome);
+        assertEquals(3, dials.get());
+    }
+}
