--- a/src/test/java/laurelkeel/platform/RareMomentsTest.java
+++ b/src/test/java/laurelkeel/platform/RareMomentsTest.java
@@ -23,6 +23,9 @@
     private final AtomicLong ahead = new AtomicLong();
     private final LongSupplier real = Base.clock();
     private final LongSupplier clock = () -> real.getAsLong() + ahead.get();
+    /** Only what a test adds, until it lets the clock go. */
+    private final AtomicBoolean goes = new AtomicBoolean();
+    private final LongSupplier standing = () -> (goes.get() ? real.getAsLong() : 36_000_000) + ahead.get();
 
     // ---- lists
 
@@ -81,8 +84,7 @@
     /** What it misses counts as told 6 s after it fell silent; the clock stands but for what the test adds, 5.1 s in all. */
     @Test
     void aSecondSilentWatchLeavesTimeForAThird() throws Exception {
-        AtomicBoolean goes = new AtomicBoolean();
-        try (Stage p = new Stage(1024, 5000, () -> (goes.get() ? real.getAsLong() : 36_000_000) + ahead.get(), Stage::nothing)) {
+        try (Stage p = new Stage(1024, 5000, standing, Stage::nothing)) {
             p.watch(Stage.list(2, false, p.entry("active", 1, p.machine)));
             p.event(Event.MachineList.class, 2);
             Stage.lines(p.desk.call()).readLine();
@@ -162,6 +164,27 @@
         }
     }
 
+    /** The machine would end it after 15 s, and whatever is written then is lost with it. */
+    @Test
+    void anIdleConnectionEndsBeforeTheMachineWouldEndIt() throws Exception {
+        try (Stage p = new Stage(1024, 5000, standing, Stage::once)) {
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Socket m = p.machine.call();
+            Stage.hear(m);
+            Stage.say(m, Stage.ok("1"));
+            Stage.hear(c);
+            ahead.addAndGet(120_000);
+            Stage.say(c, Stage.look("2", ""));
+            assertTrue(Stage.hear(m).contains("X-Correlation-Id: 2\r\n"), "it is kept for as long as it is sound");
+            Stage.say(m, Stage.ok("2"));
+            Stage.hear(c);
+            ahead.addAndGet(140_000);
+            assertEquals("<end>", Stage.hear(m));
+            goes.set(true);
+        }
+    }
+
     @Test
     void aPlaceThatBecomesFreeGoesToTheMachineThatWaitsForOne() throws Exception {
         try (Stage.Party other = new Stage.Party(); Stage p = small("s-2")) {
