Of the platform's counts no more count as independent than the build has machines

Cause: the counts do not tell machines apart, and Shifter.leads took each counted try for independent, so a few sick machines among the trial's passed for the build. Change: the doubt of that test is that of as many outcomes as the build has machines, where those are fewer. Own outcomes as before.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -919,8 +919,8 @@
         int routes = set.routes().size();
         Cell[] earlier = total(seconds.values(), rev, -1);
         List<Map<Integer, Cell[]>> over = spans(seconds, cand, rev, beside ? SPAN : MEMORY);
-        // of many fronts each sees a few tries: the platform's counts say how often, an error of its own of what
-        // kind, for they take time-outs of cold machines for failures
+        // of many fronts each sees few tries: the platform's counts say how often, an error of its own of
+        // what kind, for they take time-outs of cold machines for failures
         Cell[] own = total(seconds.values(), cand, -1);
         var all = own[routes].tries < LEAST ? spans(counted, cand, rev, beside ? SPAN : MEMORY) : null;
         // one front's finding alone must be surer than one that others must share
@@ -933,10 +933,11 @@
                 && of.stream().filter(m -> m.errs > ERRS_RATE / 10).count() < 2;
         for (int r = 0; r <= routes; r++) {
             int least = r < routes ? LEAST / 2 : LEAST;
-            boolean errs = !one && leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails);
-            errs |= !one && all != null && own[r].fails > 0
-                    && leads(all, cand, rev, r, c -> c.fails, least, LEAST_FAILS);
-            if (errs || leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS)) {
+            boolean errs = leads(over, cand, rev, r, c -> cured ? c.cured : c.fails, least, fails, 1e9);
+            errs |= all != null && own[r].fails > 0
+                    && leads(all, cand, rev, r, c -> c.fails, least, LEAST_FAILS, of.size());
+            errs &= !one;
+            if (errs || leads(over, cand, rev, r, c -> c.complaints, LEAST, LEAST_COMPLAINTS, 1e9)) {
                 return (errs ? "errors" : "complaints") + " on route " + r;
             }
         }
@@ -1017,9 +1018,12 @@
     /**
      * A lead in failures or complaints, each span and route by itself: summed, a share that changes with
      * time or route passes for a lead of the build that has its traffic then.
+     *
+     * @param machines of cand, where they cannot be told apart: a few that always fail are no build, so no
+     *     more outcomes than that count as independent
      */
     private boolean leads(Collection<Map<Integer, Cell[]>> over, int cand, int rev, int route,
-            ToIntFunction<Cell> what, int least, int leastHits) {
+            ToIntFunction<Cell> what, int least, int leastHits, double machines) {
         double lead = 0, weight = 0, tries = 0, hits = 0, all = 0, allHits = 0;
         for (Map<Integer, Cell[]> second : over) {
             Cell[] x = second.get(cand), y = second.get(rev);
@@ -1039,7 +1043,8 @@
             }
         }
         // the doubt by the share over all: a second of few tries shows too little of its own
-        double doubt = Math.sqrt(weight * allHits / all * Math.max(0, 1 - allHits / all));
+        double doubt = Math.sqrt(weight * allHits / all * Math.max(0, 1 - allHits / all))
+                * Math.sqrt(Math.max(1, weight / machines));
         return tries >= least && hits >= leastHits && lead > MARGIN * weight && lead > sure * doubt;
     }
 
