The largest spoilt list may be cut off while its sender still writes

RareMomentsTest.whatIsNoListEndsTheWatch... failed once in a whole run (broken pipe): the node ends the watch at 1 MiB, as it is to, and the test's own write of the rest met the closed connection. The peer takes that now; what the test asserts is as before.

--- a/src/test/java/laurelkeel/platform/RareMomentsTest.java
+++ b/src/test/java/laurelkeel/platform/RareMomentsTest.java
@@ -51,7 +51,11 @@
                     "{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"s-9\"}]}", "\1\2", "{\"a\":\"" + "x".repeat(1 << 20))) {
                 Socket w = p.discovery.call();
                 assertTrue(Stage.hear(w).contains("after=1 "), "nothing of it was followed");
-                Stage.say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Stage.chunk(bad));
+                try {
+                    Stage.say(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Stage.chunk(bad));
+                } catch (java.io.IOException e) {
+                    // the node ended it while the last of so much was still on its way
+                }
             }
             p.discovery.call();
             assertEquals(1, p.all(Event.MachineList.class).size());
