--- a/src/main/java/laurelkeel/platform/Node.java
+++ b/src/main/java/laurelkeel/platform/Node.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
 import laurelkeel.api.Action;
 import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
@@ -82,8 +83,13 @@
 
     /** @param clock tenths of a millisecond that only advance */
     static Node of(Config config, Decider.Maker maker, LongSupplier clock) {
+        return of(config, maker, clock, node -> node);
+    }
+
+    /** @param between what the front is handed for the node: a test may stand between the two */
+    static Node of(Config config, Decider.Maker maker, LongSupplier clock, UnaryOperator<Outfit> between) {
         Node node = new Node(config, maker, Base.small(clock));
-        new Front(config.settings(), door(config), machineSide(config), node.base, node);
+        new Front(config.settings(), door(config), machineSide(config), node.base, between.apply(node));
         return node;
     }
 
--- /dev/null
+++ b/src/test/java/laurelkeel/cli/StartTest.java
@@ -0,0 +1,100 @@
+package laurelkeel.cli;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import laurelkeel.front.Rig;
+import laurelkeel.platform.Stage;
+import laurelkeel.soak.NodeImage;
+import laurelkeel.soak.NodeProcess;
+import laurelkeel.standin.Ports;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real node, started again and again as in the incident of 2026-12-02 (docs/incidents). */
+class StartTest {
+    /** On the build of the incident more than one start in three ended. */
+    private static final int STARTS = 10;
+
+    @TempDir
+    Path folder;
+
+    private Stage.Party discovery, control;
+    private final AtomicInteger votes = new AtomicInteger();
+
+    @BeforeEach
+    void open() throws Exception {
+        discovery = new Stage.Party();
+        control = new Stage.Party();
+        Thread reads = new Thread(this::readVotes);
+        reads.setDaemon(true);
+        reads.start();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        discovery.close();
+        control.close();
+    }
+
+    /** Counts the calls that are votes; answers nothing. */
+    private void readVotes() {
+        try {
+            while (true) {
+                Socket call = control.call();
+                Thread each = new Thread(() -> {
+                    try (BufferedReader in = Stage.lines(call)) {
+                        for (String line = in.readLine(); line != null; line = in.readLine()) {
+                            votes.addAndGet(line.startsWith("SAY ") ? 1 : 0);
+                        }
+                    } catch (IOException e) {
+                        // the node has ended it
+                    }
+                });
+                each.setDaemon(true);
+                each.start();
+            }
+        } catch (InterruptedException | AssertionError e) {
+            // the test is over
+        }
+    }
+
+    /** A build has been on trial for so long that a vote on it is due at once. */
+    private String config(int port) {
+        String servers = "";
+        for (int i = 0; i < 4; i++) {
+            servers += (i == 0 ? "" : ",") + "{\"id\":\"s-" + i + "\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"kind\":\"m1\","
+                    + "\"cell\":0,\"state\":\"active\",\"weight\":1.0,\"started_ms\":0,\"revision_no\":" + (23 + i % 2) + "}";
+        }
+        return "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
+                + "\",\"limits\":{\"sockets\":256},\"rollouts\":{\"address\":\"" + control.address()
+                + "\",\"news\":{\"build\":24,\"stage\":1,\"phase\":\"Progressing\",\"cap\":0.5,\"age_ms\":9000}},"
+                + "\"known\":{\"version\":7,\"full\":true,\"servers\":[" + servers + "]},\"settings\":"
+                + Stage.SETTINGS.formatted(800) + "}";
+    }
+
+    @Test
+    void aNodeWhoseFirstTurnVotesStaysUp() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(Ports.free()));
+        NodeImage image = NodeImage.make(folder);
+        for (int i = 0; i < STARTS; i++) {
+            int before = votes.get();
+            NodeProcess node = NodeProcess.start(image, file, folder.resolve("node.log"), Map.of());
+            try {
+                Rig.await("it votes, or ends", () -> votes.get() > before || !node.isAlive());
+                assertTrue(node.isAlive(), node.log());
+            } finally {
+                node.kill();
+            }
+        }
+    }
+}
--- a/src/test/java/laurelkeel/platform/Stage.java
+++ b/src/test/java/laurelkeel/platform/Stage.java
@@ -69,6 +69,11 @@
             return "127.0.0.1:" + at.getLocalPort();
         }
 
+        /** True where nobody has connected, less those that call has returned. */
+        public boolean isUncalled() {
+            return calls.isEmpty();
+        }
+
         public Socket call() throws InterruptedException {
             Socket s = calls.poll(10, TimeUnit.SECONDS);
             if (s == null) {
@@ -196,7 +201,7 @@
         });
     }
 
-    static BufferedReader lines(Socket s) throws IOException {
+    public static BufferedReader lines(Socket s) throws IOException {
         return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
     }
 
--- /dev/null
+++ b/src/test/java/laurelkeel/platform/StartOrderTest.java
@@ -0,0 +1,107 @@
+package laurelkeel.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.UnaryOperator;
+import laurelkeel.api.Action.Verdict;
+import laurelkeel.api.Action.Vote;
+import laurelkeel.api.Decider;
+import laurelkeel.front.Base;
+import laurelkeel.front.Outfit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What may come to a node before it has started, in the orders that two threads may take. */
+class StartOrderTest {
+    private static final long HELD_UP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final AtomicInteger turns = new AtomicInteger();
+    private Stage.Party discovery, control;
+
+    @BeforeEach
+    void open() throws Exception {
+        discovery = new Stage.Party();
+        control = new Stage.Party();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        discovery.close();
+        control.close();
+    }
+
+    private static Config config(Stage.Party discoveryAt, Stage.Party controlAt) throws Exception {
+        String json = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discoveryAt.address()
+                + "\",\"limits\":{\"sockets\":256},\"rollouts\":{\"address\":\"" + controlAt.address()
+                + "\",\"news\":{\"build\":24,\"stage\":1,\"phase\":\"Progressing\",\"cap\":0.5,\"age_ms\":9000}},\"settings\":"
+                + Stage.SETTINGS.formatted(800) + "}";
+        return Config.of(Config.JSON.readTree(json), java.util.Map.of());
+    }
+
+    /** Votes at its first turn. */
+    private Decider voter() {
+        return (now, events) -> turns.getAndIncrement() == 0 ? List.of(new Vote(24, 1, Verdict.ON)) : List.of();
+    }
+
+    /** The thread that starts the sources is held up until the first turn has come, or for a second. */
+    private Outfit heldUp(Outfit node) {
+        return (Outfit) Proxy.newProxyInstance(Outfit.class.getClassLoader(), new Class<?>[] {Outfit.class}, (proxy, method, args) -> {
+            if (method.getName().equals("start")) {
+                long end = System.nanoTime() + HELD_UP_NANOS;
+                while (turns.get() == 0 && System.nanoTime() < end) {
+                    LockSupport.parkNanos(1_000_000);
+                }
+            }
+            try {
+                return method.invoke(node, args);
+            } catch (InvocationTargetException e) {
+                throw e.getCause();
+            }
+        });
+    }
+
+    private void votesReachTheControlService(UnaryOperator<Outfit> between) throws Exception {
+        Node node = Node.of(config(discovery, control), (settings, seed) -> voter(), Base.clock(), between);
+        node.front().start();
+        Socket first = control.call();
+        Socket second = control.call();
+        List<String> said = List.of(Stage.lines(first).readLine(), Stage.lines(second).readLine());
+        assertTrue(said.contains("SUB") && said.contains("SAY 24 1 approve"), said.toString());
+        node.front().drain();
+        assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aVoteOfTheFirstTurnReachesTheControlService() throws Exception {
+        votesReachTheControlService(node -> node);
+    }
+
+    @Test
+    void aVoteReachesTheControlServiceHoweverLongTheStartIsHeldUp() throws Exception {
+        votesReachTheControlService(this::heldUp);
+    }
+
+    /** SIGHUP right at the start: the addresses of the configuration before must not come back. */
+    @Test
+    void aConfigurationFollowedBeforeTheStartStays() throws Exception {
+        try (Stage.Party moved = new Stage.Party()) {
+            Node node = Node.of(config(discovery, control), (settings, seed) -> (now, events) -> List.of());
+            node.follow(config(moved, control));
+            node.front().start();
+            moved.call().close();
+            moved.call();
+            assertTrue(discovery.isUncalled());
+            node.front().drain();
+            assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/laurelkeel/wire/AnswerEndsTest.java
@@ -0,0 +1,133 @@
+package laurelkeel.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** An answer counts as whole only where the server itself ended it, whatever way its body ends (RFC 9112, 6.3 and 8). */
+class AnswerEndsTest {
+    private static final String UNTIL_CLOSE = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nall of it";
+    private static final String LENGTH = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it";
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n";
+    private static final Object CLOSED = "closed";
+
+    /** How a server ends its connection, or this side does. */
+    private enum Ending { IN_ORDER, RESET, OURS }
+
+    private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+    private final NioSocketConnector connector = new NioSocketConnector(1);
+    private ServerSocket server;
+
+    @BeforeEach
+    void open() throws IOException {
+        server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+        connector.getFilterChain().addLast("http", HttpCodec.client(new HttpLimits(1024, 8192, 64, 1024)));
+        connector.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                told.add(message);
+            }
+
+            @Override
+            public void inputClosed(IoSession session) {
+                session.closeNow();
+            }
+
+            @Override
+            public void exceptionCaught(IoSession session, Throwable cause) {
+                session.closeNow();
+            }
+
+            @Override
+            public void sessionClosed(IoSession session) {
+                told.add(CLOSED);
+            }
+        });
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        connector.dispose();
+        server.close();
+    }
+
+    /** What the reader was told of an answer that is cut after so many bytes, up to the end of its connection. */
+    private List<Object> cut(String answer, int at, Ending ending) throws Exception {
+        IoSession session = connector.connect(new InetSocketAddress("127.0.0.1", server.getLocalPort())).awaitUninterruptibly()
+                .getSession();
+        try (Socket peer = server.accept()) {
+            session.write(IoBuffer.wrap("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+            Peer.hear(peer);
+            peer.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII), 0, at);
+            // what was sent before a reset may be thrown away with it: it has to be read first
+            while (session.getReadBytes() < at) {
+                Thread.onSpinWait();
+            }
+            if (ending == Ending.OURS) {
+                session.closeNow();
+            } else if (ending == Ending.RESET) {
+                peer.setSoLinger(true, 0);
+            }
+        }
+        List<Object> all = new java.util.ArrayList<>();
+        for (Object next = told.poll(10, TimeUnit.SECONDS); next != CLOSED; next = told.poll(10, TimeUnit.SECONDS)) {
+            assertTrue(next != null, "the connection did not end");
+            all.add(next);
+        }
+        return all;
+    }
+
+    private static boolean whole(List<Object> told) {
+        return told.stream().anyMatch(HttpAnswer.class::isInstance);
+    }
+
+    @Test
+    void anAnswerWithoutALengthIsWholeOnlyWhereTheServerEndsItInOrder() throws Exception {
+        int head = UNTIL_CLOSE.indexOf("\r\n\r\n") + 4;
+        for (int at = 1; at <= UNTIL_CLOSE.length(); at++) {
+            assertFalse(whole(cut(UNTIL_CLOSE, at, Ending.RESET)), "reset after " + at);
+            assertFalse(whole(cut(UNTIL_CLOSE, at, Ending.OURS)), "closed here after " + at);
+            assertEquals(at >= head, whole(cut(UNTIL_CLOSE, at, Ending.IN_ORDER)), "ended after " + at);
+        }
+    }
+
+    @Test
+    void anAnswerWithALengthOrChunksIsWholeAtItsLastByteHoweverItsConnectionEnds() throws Exception {
+        for (String answer : List.of(LENGTH, CHUNKED)) {
+            for (int at = 1; at <= answer.length(); at++) {
+                for (Ending ending : Ending.values()) {
+                    assertEquals(at == answer.length(), whole(cut(answer, at, ending)), answer + " " + at + " " + ending);
+                }
+            }
+        }
+    }
+
+    /** Reads one request without a body. */
+    private static final class Peer {
+        static void hear(Socket s) throws IOException {
+            int matched = 0;
+            while (matched < 4) {
+                int b = s.getInputStream().read();
+                matched = b == (matched % 2 == 0 ? '\r' : '\n') ? matched + 1 : 0;
+            }
+        }
+    }
+}
