An answer without a length is whole only where the server ends it in order

Cause: the codec made such an answer whole in finishDecode, which MINA calls whatever ends a session: a reset, an error, our own close. Change: only the orderly end of the server's output ends one (AnswerFilter.inputClosed); all else fails the attempt as one that may have run.

--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -56,13 +56,13 @@
 
     /** The filter for the side that takes answers. */
     public static ProtocolCodecFilter client(HttpLimits limits) {
-        return new ProtocolCodecFilter(
+        return new AnswerFilter(
                 new HttpCodec(HttpParser.Side.ANSWERS, limits, new Room(Long.MAX_VALUE), false));
     }
 
     /** For connections with one request at a time, each told by toAsk: bytes that nothing asked for end them. Needs LookingProcessor. */
     public static ProtocolCodecFilter client(HttpLimits limits, Room room) {
-        return new ProtocolCodecFilter(new HttpCodec(HttpParser.Side.ANSWERS, limits, room, true));
+        return new AnswerFilter(new HttpCodec(HttpParser.Side.ANSWERS, limits, room, true));
     }
 
     /** Said before a request is handed over to be written, where requests go one by one. */
@@ -106,6 +106,22 @@
         session.setAttribute(TO_HEAD, true);
     }
 
+    /** An answer without a length is whole where the server ends its side in order (RFC 9112, 6.3), and only there. */
+    private static final class AnswerFilter extends ProtocolCodecFilter {
+        AnswerFilter(HttpCodec codec) {
+            super(codec);
+        }
+
+        @Override
+        public void inputClosed(NextFilter next, IoSession session) throws Exception {
+            Object whole = session.getAttribute(READER) instanceof Reader reader ? reader.ended() : null;
+            if (whole != null) {
+                next.messageReceived(session, whole);
+            }
+            next.inputClosed(session);
+        }
+    }
+
     private static final class Reader implements ProtocolDecoder {
         private final HttpParser parser;
         private final boolean oneByOne;
@@ -117,6 +133,11 @@
             this.parser = parser;
         }
 
+        /** The other side has ended its output in order: what that makes whole, or null. */
+        Object ended() {
+            return broken ? null : parser.finish();
+        }
+
         @Override
         public void decode(IoSession session, IoBuffer in, ProtocolDecoderOutput out) {
             ByteBuffer bytes = in.buf();
@@ -165,12 +186,12 @@
             }
         }
 
+        /**
+         * MINA calls this whatever has ended the session: a reset, a time-out and a close of ours among them. None of
+         * those makes an answer whole; see AnswerFilter.
+         */
         @Override
         public void finishDecode(IoSession session, ProtocolDecoderOutput out) {
-            Object whole = parser.finish();
-            if (whole != null) {
-                out.write(whole);
-            }
             // here, for MINA disposes only of decoders that it keeps itself
             parser.close();
         }
--- a/src/test/java/laurelkeel/wire/AnswerEndsTest.java
+++ b/src/test/java/laurelkeel/wire/AnswerEndsTest.java
@@ -82,7 +82,8 @@
                 Thread.onSpinWait();
             }
             if (ending == Ending.OURS) {
-                session.closeNow();
+                // an orderly end of the server must not come before it
+                session.closeNow().awaitUninterruptibly();
             } else if (ending == Ending.RESET) {
                 peer.setSoLinger(true, 0);
             }
