--- a/src/main/java/laurelkeel/cli/Cli.java
+++ b/src/main/java/laurelkeel/cli/Cli.java
@@ -15,7 +15,7 @@
         description = "Shifts traffic between builds while servers are updated.",
         subcommands = {FrontCommand.class, DayCommand.class, StandinCommand.class, CheckCommand.class,
             AuditCommand.class, BlameCommand.class, BenchCommand.class, Cli.BenchlinkCommand.class,
-            Cli.ServeCommand.class, Cli.RehearseCommand.class},
+            Cli.ServeCommand.class, Cli.RehearseCommand.class, SoakCommand.class},
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:held, or ended as asked", "1:failed while running",
             "2:bad arguments or settings", "3:a rule was broken"})
 final class Cli implements Callable<Integer> {
--- a/src/main/java/laurelkeel/soak/NodeProcess.java
+++ b/src/main/java/laurelkeel/soak/NodeProcess.java
@@ -28,10 +28,12 @@
      * @param config the configuration that the platform hands it
      * @param log where its standard error is appended
      * @param environment added to that of this process
+     * @param descriptors what it may hold, as the system's limit
      */
-    public static NodeProcess start(NodeImage image, Path config, Path log, Map<String, String> environment)
+    public static NodeProcess start(NodeImage image, Path config, Path log, Map<String, String> environment, int descriptors)
             throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(image.command());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh");
+        builder.command().addAll(image.command());
         builder.environment().put("RELAY_CONFIG", config.toString());
         builder.environment().putAll(environment);
         builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
--- /dev/null
+++ b/src/main/java/laurelkeel/soak/TcpServer.java
@@ -0,0 +1,112 @@
+package laurelkeel.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A listener on loopback with a thread a connection, for stand-ins that misbehave at will. */
+abstract class TcpServer implements AutoCloseable {
+    private static final int BACKLOG = 500;
+    private static final int LONGEST_LINE = 16 << 10;
+
+    private final ServerSocket listener;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
+    TcpServer() throws IOException {
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** Called once, when the stand-in is complete. */
+    final void start() {
+        daemon("accept", () -> {
+            while (!listener.isClosed()) {
+                Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
+                open.add(socket);
+                daemon("serve", () -> {
+                    try (socket) {
+                        serve(socket, new BufferedInputStream(socket.getInputStream()));
+                    } finally {
+                        open.remove(socket);
+                    }
+                });
+            }
+        });
+    }
+
+    /** One connection, until it is to be closed. */
+    abstract void serve(Socket socket, InputStream in) throws IOException, InterruptedException;
+
+    final String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Takes no new connections; those open stay. */
+    final void stopListening() throws IOException {
+        listener.close();
+    }
+
+    final void closeConnections() throws IOException {
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        stopListening();
+        closeConnections();
+    }
+
+    /** Work that may end with its connection. */
+    interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    static Thread daemon(String name, Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // the other side or the end of the run has closed it
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "soak-" + name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    /** One line without its end; null at the end of the input. */
+    static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = in.read(); b >= 0; b = in.read()) {
+            if (b == '\n') {
+                int end = line.length();
+                return end > 0 && line.charAt(end - 1) == '\r' ? line.substring(0, end - 1) : line.toString();
+            }
+            if (line.length() > LONGEST_LINE) {
+                throw new IOException("a line without end");
+            }
+            line.append((char) b);
+        }
+        return null;
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Ends a connection with a reset in place of an orderly end. */
+    static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+}
--- a/src/test/java/laurelkeel/cli/StartTest.java
+++ b/src/test/java/laurelkeel/cli/StartTest.java
@@ -88,7 +88,7 @@
         NodeImage image = NodeImage.make(folder);
         for (int i = 0; i < STARTS; i++) {
             int before = votes.get();
-            NodeProcess node = NodeProcess.start(image, file, folder.resolve("node.log"), Map.of());
+            NodeProcess node = NodeProcess.start(image, file, folder.resolve("node.log"), Map.of(), 256);
             try {
                 Rig.await("it votes, or ends", () -> votes.get() > before || !node.isAlive());
                 assertTrue(node.isAlive(), node.log());
--- a/src/test/java/laurelkeel/platform/RareMomentsTest.java
+++ b/src/test/java/laurelkeel/platform/RareMomentsTest.java
@@ -205,4 +205,33 @@
             assertTrue(Stage.hear(waits).endsWith("y"));
         }
     }
+
+    /** A client that has ended its output may still be reading, and cannot be told from one that has closed. */
+    @Test
+    void aClientThatEndsItsOutputHasItsAnswerAndNoFurtherAttempt() throws Exception {
+        try (Stage p = new Stage(Stage::once)) {
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", ""));
+            Stage.hear(p.machine.call());
+            c.shutdownOutput();
+            assertTrue(Stage.hear(c).startsWith("HTTP/1.1 502 "));
+            assertEquals("<end>", Stage.hear(c));
+            p.event(Event.ClientLeft.class, 1);
+            assertEquals(1, p.all(Event.Req.class).size());
+        }
+    }
+
+    @Test
+    void allThatAClientHadAskedBeforeItEndedItsOutputIsAnswered() throws Exception {
+        try (Stage p = new Stage(Stage::once)) {
+            Socket c = p.client();
+            Stage.say(c, Stage.look("1", "") + Stage.look("2", "") + "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n");
+            Stage.hear(p.machine.call());
+            c.shutdownOutput();
+            assertTrue(Stage.hear(c).startsWith("HTTP/1.1 502 "));
+            assertTrue(Stage.hear(c).startsWith("HTTP/1.1 503 "));
+            assertTrue(Stage.hear(c).startsWith("HTTP/1.1 404 "));
+            assertEquals("<end>", Stage.hear(c));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/laurelkeel/platform/StartClockTest.java
@@ -0,0 +1,58 @@
+package laurelkeel.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** Starts on the front's clock, where the host's wall clock is right, ahead and behind. Tenths of a millisecond. */
+class StartClockTest {
+    private static final long NOW = 50_000_000, UNIX_MS = 1_700_000_000_000L, SECOND = 10_000, HOUR = 3600 * SECOND;
+    private static final long RIGHT = NOW - UNIX_MS * 10;
+
+    /** @param ahead how far the host's clock was ahead when it was read */
+    private static StartClock clock(long ahead) {
+        return new StartClock(RIGHT - ahead);
+    }
+
+    @Test
+    void aRightClockMapsAStartToItsMoment() {
+        assertEquals(NOW - 3 * SECOND, clock(0).moment(UNIX_MS - 3_000, NOW, false));
+        assertEquals(0, clock(0).moment(0, NOW, false));
+        assertEquals(1, clock(0).moment(1, NOW, false));
+    }
+
+    @Test
+    void noStartIsInTheFutureHoweverFarTheClockWasBehind() {
+        for (long behind : new long[] {5 * SECOND, HOUR}) {
+            StartClock clock = clock(-behind);
+            assertEquals(NOW, clock.moment(UNIX_MS, NOW, false));
+            assertEquals(NOW - 2 * SECOND, clock.moment(UNIX_MS - 2_000, NOW, false));
+        }
+    }
+
+    @Test
+    void aStartThatIsToldAsItHappensCorrectsAClockThatWasAhead() {
+        for (long ahead : new long[] {5 * SECOND, HOUR}) {
+            StartClock clock = clock(ahead);
+            assertEquals(NOW, clock.moment(UNIX_MS, NOW, true));
+            assertEquals(NOW + SECOND, clock.moment(UNIX_MS + 1_000, NOW + 2 * SECOND, true));
+        }
+    }
+
+    /** The first change may tell an old start; what comes after it shows that, and no start is taken for older than it is. */
+    @Test
+    void aMachineThatReturnsWithAnOldStartMisleadsNobodyForLong() {
+        StartClock clock = clock(0);
+        assertEquals(NOW, clock.moment(UNIX_MS - 600_000, NOW, true));
+        assertEquals(NOW + SECOND, clock.moment(UNIX_MS + 1_000, NOW + SECOND, true));
+        assertEquals(NOW + SECOND, clock.moment(UNIX_MS + 1_000, NOW + 3 * SECOND, false));
+    }
+
+    @Test
+    void aTimeThatNoClockTellsCorrectsNothing() {
+        StartClock clock = clock(0);
+        assertEquals(NOW, clock.moment(Long.MAX_VALUE, NOW, true));
+        assertEquals(NOW, clock.moment(UNIX_MS * 2, NOW, false));
+        assertEquals(NOW - SECOND, clock.moment(UNIX_MS - 1_000, NOW, false));
+    }
+}
--- a/src/test/java/laurelkeel/platform/StartOrderTest.java
+++ b/src/test/java/laurelkeel/platform/StartOrderTest.java
@@ -1,12 +1,14 @@
 package laurelkeel.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -14,8 +16,10 @@
 import laurelkeel.api.Action.Verdict;
 import laurelkeel.api.Action.Vote;
 import laurelkeel.api.Decider;
+import laurelkeel.api.Event;
 import laurelkeel.front.Base;
 import laurelkeel.front.Outfit;
+import laurelkeel.front.Peers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -104,4 +108,31 @@
             assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
         }
     }
+
+    /** What cannot even be tried has failed, and the front goes on. */
+    @Test
+    void aVoteThatCannotBeSentIsAFailedVote() throws Exception {
+        List<Event> events = new CopyOnWriteArrayList<>();
+        Decider decider = Peers.decider(events, e -> turns.getAndIncrement() == 0 ? List.of(new Vote(24, 1, Verdict.ON)) : List.of());
+        Node node = Node.of(config(discovery, control), (settings, seed) -> decider, Base.clock(), StartOrderTest::unableToVote);
+        node.front().start();
+        Stage.await("the vote has failed", () -> events.stream().anyMatch(e -> e instanceof Event.ReleaseNews n && n.toVote()
+                && n.answer() == Event.Answer.ERROR));
+        assertFalse(node.front().ended().isDone());
+        node.front().drain();
+        assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
+    }
+
+    private static Outfit unableToVote(Outfit node) {
+        return (Outfit) Proxy.newProxyInstance(Outfit.class.getClassLoader(), new Class<?>[] {Outfit.class}, (proxy, method, args) -> {
+            if (method.getName().equals("vote")) {
+                throw new IllegalArgumentException("made");
+            }
+            try {
+                return method.invoke(node, args);
+            } catch (InvocationTargetException e) {
+                throw e.getCause();
+            }
+        });
+    }
 }
--- /dev/null
+++ b/src/test/java/laurelkeel/soak/FailingCallsTest.java
@@ -0,0 +1,158 @@
+package laurelkeel.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import laurelkeel.front.Rig;
+import laurelkeel.platform.Stage;
+import laurelkeel.standin.Ports;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real node whose system calls fail as Linux documents it, and one that is signalled before it has begun. */
+class FailingCallsTest {
+    private static final int ENFILE = 23, ECONNABORTED = 103, EADDRNOTAVAIL = 99;
+    private static final long FOREVER_MS = 1_000_000;
+    private static final int DESCRIPTORS = 256;
+    /** A moment, and not the second that a sleeping acceptor costs; twenty in a row. */
+    private static final long MOMENT_MS = 400;
+    private static final int ASKED = 20;
+    /** The kill comes no sooner after SIGTERM. */
+    private static final long KILL_AFTER_MS = 3_700;
+
+    @TempDir
+    Path folder;
+
+    private int port;
+    private Stage.Party discovery, control;
+    private NodeProcess node;
+
+    @BeforeEach
+    void open() throws Exception {
+        port = Ports.free();
+        discovery = new Stage.Party();
+        control = new Stage.Party();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (node != null) {
+            node.kill();
+        }
+        discovery.close();
+        control.close();
+    }
+
+    private String config() {
+        return "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
+                + "\",\"limits\":{\"sockets\":" + DESCRIPTORS + "},\"rollouts\":{\"address\":\"" + control.address()
+                + "\"},\"settings\":" + Stage.SETTINGS.formatted(800) + "}";
+    }
+
+    private void start(String faults) throws Exception {
+        Optional<Path> library = FaultLibrary.build(folder);
+        assumeTrue(library.isPresent(), "there is no C compiler");
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config());
+        node = NodeProcess.start(NodeImage.make(folder), file, folder.resolve("node.log"),
+                Map.of("LD_PRELOAD", library.get().toString(), "SOAK_FAULTS", faults), DESCRIPTORS);
+    }
+
+    /** True where it answers at all; it is not ready, for nobody tells it a list. */
+    private boolean answers() {
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.setSoTimeout(5_000);
+            TcpServer.write(client, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+            return TcpServer.line(client.getInputStream()) != null;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void answersInAMoment() {
+        for (int i = 0; i < ASKED; i++) {
+            long before = System.nanoTime();
+            assertTrue(answers(), "connection " + i);
+            long took = (System.nanoTime() - before) / 1_000_000;
+            assertTrue(took < MOMENT_MS, "connection " + i + " took " + took + " ms");
+        }
+    }
+
+    @Test
+    void anAcceptThatFailsCostsAMoment() throws Exception {
+        start("accept:" + ECONNABORTED + ":0:" + FOREVER_MS + ":40,accept:" + ENFILE + ":0:" + FOREVER_MS + ":10");
+        Rig.await("it answers", this::answers);
+        answersInAMoment();
+    }
+
+    @Test
+    void aNodeThatCanAcceptNothingStillEndsInOrder() throws Exception {
+        start("accept:" + ENFILE + ":2500:" + FOREVER_MS + ":100");
+        Rig.await("it answers", this::answers);
+        Rig.await("accepts fail", () -> node.age() > 2_600);
+        try (Socket waits = new Socket("127.0.0.1", port)) {
+            assertTrue(waits.isConnected());
+            node.signal("TERM");
+            Integer status = node.awaitEnd(KILL_AFTER_MS);
+            assertNotNull(status, node.log());
+            assertEquals(0, status);
+        }
+    }
+
+    /** The sources are dialled again and again, and the process goes on meanwhile. */
+    @Test
+    void aConnectThatFailsEndsNothing() throws Exception {
+        start("connect:" + EADDRNOTAVAIL + ":0:1500:100,socket:" + ENFILE + ":0:700:100");
+        discovery.call();
+        control.call();
+        Rig.await("it answers", this::answers);
+        assertTrue(node.isAlive());
+    }
+
+    /** The configuration is a pipe: the node has come as far as reading it, and no further, until it is written. */
+    @Test
+    void signalsBeforeTheConfigurationIsReadAreFollowedAfterIt() throws Exception {
+        Path file = folder.resolve("config.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+        node = NodeProcess.start(NodeImage.make(folder), file, folder.resolve("node.log"), Map.of(), DESCRIPTORS);
+        try (OutputStream pipe = Files.newOutputStream(file)) {
+            node.signal("TERM");
+            Rig.await("it is heard, or the node ends", () -> heard("SIGTERM") || !node.isAlive());
+            assertTrue(node.isAlive(), node.log());
+            pipe.write(config().getBytes());
+        }
+        assertEquals(0, node.awaitEnd(10_000));
+    }
+
+    private boolean heard(String line) {
+        try {
+            return node.log().contains(line);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void aNewListenerWaitsForAnAddressThatIsStillTaken() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config());
+        try (java.net.ServerSocket taken = new java.net.ServerSocket(port, 5, java.net.InetAddress.getByName("127.0.0.1"))) {
+            node = NodeProcess.start(NodeImage.make(folder), file, folder.resolve("node.log"), Map.of(), DESCRIPTORS);
+            Rig.await("it waits, or ends", () -> heard("cannot be opened yet") || !node.isAlive());
+            assertTrue(node.isAlive(), node.log());
+            assertEquals(port, taken.getLocalPort());
+        }
+        Rig.await("it answers", this::answers);
+    }
+}
--- /dev/null
+++ b/src/test/java/laurelkeel/soak/SoakTest.java
@@ -0,0 +1,39 @@
+package laurelkeel.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A short soak of real nodes; the long one is started by hand (docs/soak.md). */
+class SoakTest {
+    private static final int SEEDS = 6, SECONDS = 8, AT_A_TIME = 2;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void realNodesKeepTheRulesUnderWhatTheseSeedsDraw() throws Exception {
+        NodeImage image = NodeImage.make(folder);
+        ExecutorService runs = Executors.newFixedThreadPool(AT_A_TIME);
+        List<Future<Soak.Result>> results = new ArrayList<>();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            long each = seed;
+            results.add(runs.submit(() -> Soak.run(each, SECONDS, image, folder.resolve("seed-" + each))));
+        }
+        runs.shutdown();
+        List<String> broken = new ArrayList<>();
+        for (Future<Soak.Result> each : results) {
+            Soak.Result result = each.get();
+            System.out.println("seed " + result.seed() + ": " + result.counts());
+            result.broken().forEach(what -> broken.add("seed " + result.seed() + " " + what + "; drawn " + result.drawn()));
+        }
+        assertEquals(List.of(), broken);
+    }
+}
