--- a/src/main/java/laurelkeel/front/upstream/Dial.java
+++ b/src/main/java/laurelkeel/front/upstream/Dial.java
@@ -1,9 +1,13 @@
 package laurelkeel.front.upstream;
 
+import java.io.IOException;
+import java.net.ConnectException;
 import java.net.SocketAddress;
+import java.nio.channels.Channel;
 import java.util.function.Consumer;
 import laurelkeel.loop.Loop;
 import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.polling.AbstractPollingIoConnector;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionInitializer;
@@ -12,6 +16,9 @@
 /**
  * One connection that is being opened, within a span of real time. MINA measures its own limit by the wall clock: a step
  * forward would end all that are being opened at once and a step back none in time, so the loop's clock measures here.
+ *
+ * <p>One whose time is over is not cancelled through MINA's future. That may meet the moment in which it comes up, and
+ * MINA 2.2.5 then counts its socket as gone twice, takes itself to have none, and leaves the others unwatched.
  */
 public final class Dial {
     /** For MINA's own limit: longer than any step of a wall clock that it should survive. */
@@ -19,45 +26,83 @@
 
     private static final AttributeKey DIAL = new AttributeKey(Dial.class, "dial");
 
+    /** What comes of it, told once on the loop's thread, but never from within start. */
+    public interface Outcome {
+        void connected(IoSession session);
+
+        void failed(Throwable why);
+    }
+
+    private final Outcome outcome;
     private volatile boolean abandoned;
 
-    private Dial() { }
+    private Dial(Outcome outcome) {
+        this.outcome = outcome;
+    }
 
     /**
      * Starts it; on the loop's thread.
      *
      * @param limit tenths of a millisecond in which it has to be open
      * @param prepare run on the new session before anything is read from it
-     * @param done told once on the loop's thread, but never from within this call
-     * @throws RuntimeException where nothing was started; done is not told then
+     * @throws RuntimeException where nothing was started; outcome is not told then
      */
     public static void start(NioSocketConnector connector, Loop loop, long limit, SocketAddress to,
-            Consumer<IoSession> prepare, Consumer<ConnectFuture> done) {
-        Dial dial = new Dial();
+            Consumer<IoSession> prepare, Outcome outcome) {
+        Dial dial = new Dial(outcome);
         IoSessionInitializer<ConnectFuture> initializer = (session, future) -> {
             session.setAttribute(DIAL, dial);
             prepare.accept(session);
         };
         ConnectFuture future = connector.connect(to, initializer);
-        Loop.Alarm alarm = loop.at(loop.now() + limit, () -> {
-            dial.abandoned = true;
-            future.cancel();
-        });
+        Loop.Alarm alarm = loop.at(loop.now() + limit, () -> dial.abandon(future));
         future.addListener(f -> loop.post(() -> {
             alarm.cancel();
-            done.accept(future);
+            dial.ended(future);
         }));
     }
 
+    private void ended(ConnectFuture future) {
+        if (abandoned) {
+            closeIfConnected(future);
+        } else if (future.isConnected()) {
+            outcome.connected(future.getSession());
+        } else {
+            outcome.failed(future.getException());
+        }
+    }
+
+    private void abandon(ConnectFuture future) {
+        abandoned = true;
+        if (!closeIfConnected(future)) {
+            closeSocket(future);
+        }
+        outcome.failed(new ConnectException("no connection in time"));
+    }
+
+    private static boolean closeIfConnected(ConnectFuture future) {
+        boolean connected = future.isConnected();
+        if (connected) {
+            future.getSession().closeNow();
+        }
+        return connected;
+    }
+
+    private static void closeSocket(ConnectFuture future) {
+        if (future instanceof AbstractPollingIoConnector<?, ?>.ConnectionRequest request
+                && request.getHandle() instanceof Channel socket) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // it is given up either way
+            }
+        }
+    }
+
     /** To be called as a session opens: it may have come up in the moment in which it was given up, and nobody has it then. */
     public static void closeIfAbandoned(IoSession session) {
         if (session.getAttribute(DIAL) instanceof Dial dial && dial.abandoned) {
             session.closeNow();
         }
     }
-
-    /** Why one failed, in words. */
-    public static String failure(ConnectFuture failed) {
-        return failed.isCanceled() ? "no connection in time" : String.valueOf(failed.getException());
-    }
 }
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -17,7 +17,6 @@
 import laurelkeel.wire.HttpCodec;
 import laurelkeel.wire.Room;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
@@ -190,7 +189,17 @@
             dialling++;
             try {
                 Dial.start(connector, loop, Math.max(10, set.dialTimeout()), pool.place.at(), session -> { },
-                        connected -> dialled(pool, connected));
+                        new Dial.Outcome() {
+                            @Override
+                            public void connected(IoSession session) {
+                                dialled(pool, session);
+                            }
+
+                            @Override
+                            public void failed(Throwable why) {
+                                undialled(pool, theirs(why));
+                            }
+                        });
             } catch (RuntimeException e) {
                 LOG.error("{} could not be dialled", pool.place.at(), e);
                 loop.post(() -> undialled(pool, false));
@@ -224,26 +233,21 @@
         }
     }
 
-    private void dialled(Pool pool, ConnectFuture f) {
-        if (f.isConnected()) {
-            pool.dialling--;
-            dialling--;
-            IoSession session = f.getSession();
-            Conn c = new Conn(pool, session);
-            if (session.getAttribute(CONN) != null) {
-                // closed before it was ours
-                dial(pool);
-                return;
-            }
-            pool.open++;
-            open++;
-            session.setAttribute(CONN, c);
-            // nothing can come behind an answer that there was not
-            c.idleSince = loop.now() - set.rest();
-            free(c);
-        } else {
-            undialled(pool, f.isCanceled() || theirs(f.getException()));
+    private void dialled(Pool pool, IoSession session) {
+        pool.dialling--;
+        dialling--;
+        Conn c = new Conn(pool, session);
+        if (session.getAttribute(CONN) != null) {
+            // closed before it was ours
+            dial(pool);
+            return;
         }
+        pool.open++;
+        open++;
+        session.setAttribute(CONN, c);
+        // nothing can come behind an answer that there was not
+        c.idleSince = loop.now() - set.rest();
+        free(c);
     }
 
     /** @param theirs it is the machine that did not come up, and not this host that lacked something */
--- a/src/main/java/laurelkeel/platform/Links.java
+++ b/src/main/java/laurelkeel/platform/Links.java
@@ -5,7 +5,6 @@
 import laurelkeel.front.upstream.Dial;
 import laurelkeel.loop.Loop;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
@@ -39,6 +38,15 @@
             this.heard = heard;
         }
 
+        private void connected(IoSession connected, byte[] opening) {
+            if (over) {
+                connected.closeNow();
+            } else {
+                session = connected;
+                write(opening);
+            }
+        }
+
         void write(byte[] bytes) {
             session.write(IoBuffer.wrap(bytes));
         }
@@ -76,8 +84,18 @@
     Link open(InetSocketAddress at, byte[] opening, Heard heard) {
         Link link = new Link(heard);
         try {
-            Dial.start(connector, loop, DIAL, at, session -> session.setAttribute(LINK, link),
-                    connected -> dialled(link, opening, at, connected));
+            Dial.start(connector, loop, DIAL, at, session -> session.setAttribute(LINK, link), new Dial.Outcome() {
+                @Override
+                public void connected(IoSession session) {
+                    link.connected(session, opening);
+                }
+
+                @Override
+                public void failed(Throwable why) {
+                    LOG.info("{} could not be reached: {}", at, String.valueOf(why));
+                    ended(link, false);
+                }
+            });
         } catch (RuntimeException e) {
             LOG.warn("{} could not be dialled: {}", at, e.toString());
             loop.postNews(() -> ended(link, false));
@@ -85,18 +103,6 @@
         return link;
     }
 
-    private static void dialled(Link link, byte[] opening, InetSocketAddress at, ConnectFuture connected) {
-        if (!connected.isConnected()) {
-            LOG.info("{} could not be reached: {}", at, Dial.failure(connected));
-            ended(link, false);
-        } else if (link.over) {
-            connected.getSession().closeNow();
-        } else {
-            link.session = connected.getSession();
-            link.write(opening);
-        }
-    }
-
     private static void ended(Link link, boolean written) {
         if (!link.over) {
             link.over = true;
