--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -149,7 +149,8 @@
         c.session.write(HttpCodec.Mark.MARK).addListener(f -> {
             if (nothingOwed(c) && (halfToo || HttpCodec.halfSince(c.session) == 0)) {
                 c.closing(why);
-                c.session.closeNow();
+                // its last answer may have been handed over since, and stand behind the mark
+                c.session.closeOnFlush();
             } else {
                 c.retiring = false;
                 if (c.counted.compareAndSet(false, true)) {
