A task of the loop that fails ends nothing; requests that cannot be handled are answered

Change: the loop logs and counts such a failure and goes on; what the decision module throws and every Error end it as before. Alarms that come again are set before their work. A request whose reading fails gets 500; the listener's close on the timer's thread cannot fail the front. New figures: laurelkeel_loop_failures, failed accepts and failed tasks in the totals.

--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -151,13 +151,13 @@
     private static final long TOTALS_EVERY = 600_000;
 
     private void logTotals() {
-        LOG.info("totals: {}, clients' connections {}, closed {}, machines' connections {}", totals, ingress.connections(),
-                ingress.closed(), pools.open());
+        LOG.info("totals: {}, clients' connections {}, closed {}, failed accepts {}, machines' connections {}, failed tasks {}",
+                totals, ingress.connections(), ingress.closed(), ingress.failedAccepts(), pools.open(), loop.failures());
     }
 
     private void logTotalsAgain() {
-        logTotals();
         loop.at(loop.now() + TOTALS_EVERY, this::logTotalsAgain);
+        logTotals();
     }
 
     /**
@@ -301,7 +301,13 @@
 
     private void takeNoMore() {
         draining = true;
-        base.timer().execute(ingress::unbind);
+        base.timer().execute(() -> {
+            try {
+                ingress.unbind();
+            } catch (RuntimeException e) {
+                LOG.error("the listener could not be closed", e);
+            }
+        });
         long longest = set.routes().stream().mapToLong(Settings.Route::timeout).max().orElse(0);
         loop.at(loop.now() + Math.max(longest, drainMost), loop::stop);
         if (lameDuck > 0) {
@@ -312,8 +318,8 @@
 
     /** Connections become idle without an answer that ends them, as after one that crossed with the end. */
     private void again() {
-        ingress.closeIdle();
         loop.at(loop.now() + 5_000, this::again);
+        ingress.closeIdle();
     }
 
     private void awaitDrained() {
--- a/src/main/java/laurelkeel/front/Own.java
+++ b/src/main/java/laurelkeel/front/Own.java
@@ -143,6 +143,7 @@
         counts.gauge("laurelkeel_client_connections", front::clientConnections);
         counts.gauge("laurelkeel_machine_connections", front::machineConnections);
         counts.gauge("laurelkeel_loop_backlog", loop::backlog);
+        counts.gauge("laurelkeel_loop_failures", loop::failures);
         counts.gauge("laurelkeel_turned_away", front::turnedAway);
         for (CloseReason why : CloseReason.values()) {
             counts.gauge("laurelkeel_client_connections_closed", "reason", why.name().toLowerCase(Locale.ROOT),
@@ -197,8 +198,8 @@
     }
 
     private void report() {
-        reports.tell(loop.now());
         loop.at(loop.now() + 5_000, this::report);
+        reports.tell(loop.now());
     }
 
     /** What the release line says of a build beside its news. */
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -99,12 +99,12 @@
      */
     void sweep() {
         long now = loop.now();
+        loop.at(now + SWEEP, this::sweep);
         for (IoSession s : acceptor.getManagedSessions().values()) {
             if (s.getAttribute(CONN) instanceof ClientConn conn) {
                 sweep(conn, now);
             }
         }
-        loop.at(now + SWEEP, this::sweep);
     }
 
     private void sweep(ClientConn conn, long now) {
@@ -230,6 +230,11 @@
         return out;
     }
 
+    /** Accepts that failed since the start; on any thread. */
+    public int failedAccepts() {
+        return acceptor.failures();
+    }
+
     /** Connections of which a req has come in part. */
     int halfRead() {
         return (int) acceptor.getManagedSessions().values().stream().filter(s -> HttpCodec.halfSince(s) != 0).count();
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -380,12 +380,12 @@
     }
 
     private void sweep() {
+        loop.at(loop.now() + 10_000, this::sweep);
         long before = loop.now() - set.idleClose();
         for (Pool p : pools.values()) {
             p.closeIdle(before);
         }
         pools.values().removeIf(p -> p.open == 0 && p.dialling == 0 && p.waiting.isEmpty());
-        loop.at(loop.now() + 10_000, this::sweep);
     }
 
     private final class Handler extends IoHandlerAdapter {
--- a/src/main/java/laurelkeel/loop/Loop.java
+++ b/src/main/java/laurelkeel/loop/Loop.java
@@ -4,13 +4,19 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.jctools.queues.MpscUnboundedArrayQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The one thread that owns all state of its user. Other threads post; the loop runs what was posted, then what is
  * due, then calls the turn's end. What was told (lists, rollout news) is run before anything else of a turn, so
  * that a backlog of traffic never delays it.
+ *
+ * <p>A posted task or an alarm that throws a RuntimeException has failed by itself: it is logged and counted, and the loop
+ * goes on, for ending would fail all that others hold as well. What the turn's end throws, and every Error, ends the loop.
  */
 public final class Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     private static final int A_TURN = 512;
     private static final int SWEEP = 1024;
 
@@ -48,6 +54,8 @@
     private long now;
     private volatile boolean asleep, stopped;
     private volatile Throwable failure;
+    /** Counted by the loop's thread alone. */
+    private volatile int failures;
     private Thread thread;
 
     /** @param clock tenths of a millisecond, only advancing */
@@ -132,7 +140,7 @@
                 due.then = null;
                 cancelled -= then == null ? 1 : 0;
                 if (then != null) {
-                    then.run();
+                    runTask(then);
                     ran = true;
                 }
             }
@@ -151,14 +159,28 @@
         }
     }
 
-    private static boolean drain(MpscUnboundedArrayQueue<Runnable> from, int most) {
+    private boolean drain(MpscUnboundedArrayQueue<Runnable> from, int most) {
         int n = 0;
         for (Runnable r; n < most && (r = from.poll()) != null; n++) {
-            r.run();
+            runTask(r);
         }
         return n > 0;
     }
 
+    private void runTask(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            failures++;
+            LOG.error("a task of the loop failed; the loop goes on", e);
+        }
+    }
+
+    /** Tasks and alarms that failed since the start; on any thread. */
+    public int failures() {
+        return failures;
+    }
+
     private void sleep() {
         asleep = true;
         // looked at again after the flag: a post in between would else sleep through
--- a/src/main/java/laurelkeel/platform/Feed.java
+++ b/src/main/java/laurelkeel/platform/Feed.java
@@ -153,6 +153,7 @@
             return;
         }
         long now = loop.now();
+        loop.at(now + LOOK, this::look);
         if (beside != null && (now > beside.bytesAt + FIRST_WORD || now > beside.since + silence)) {
             drop();
             again = now + pause.ms() * 10;
@@ -162,6 +163,5 @@
         if (beside == null && silent && now >= again) {
             beside = new One();
         }
-        loop.at(now + LOOK, this::look);
     }
 }
--- a/src/test/java/laurelkeel/ArrowsTest.java
+++ b/src/test/java/laurelkeel/ArrowsTest.java
@@ -26,7 +26,7 @@
             Map.entry("blame", List.of()), Map.entry("lanes", List.of("api")),
             Map.entry("admin", List.of("wire")),
             Map.entry("front", List.of("admin", "api", "blame", "lanes", "wire", "config", "logs", "loop", "records")),
-            Map.entry("logs", List.of()),
+            Map.entry("logs", List.of()), Map.entry("soak", List.of()),
             Map.entry("standin", List.of("blame", "wire", "loop", "records")),
             Map.entry("day", List.of("api", "audit", "config", "front", "loop", "records", "standin")));
 
--- a/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
+++ b/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
@@ -41,11 +41,12 @@
     private final List<Socket> clients = new ArrayList<>();
     private Ingress ingress;
     private Socket inHand;
+    private ClientWords words = new Words();
     private int port;
 
     private void made(int connections, long idleClose) {
         ingress = new Ingress(new IngressSettings(new InetSocketAddress("127.0.0.1", 0), new HttpLimits(2048, 8192, 64, 1024),
-                connections, 4, 100, 8192, 4, idleClose, 100_000, 1, 0, 5_500, 24_000, 20_000, 21_000), new Words(), loop,
+                connections, 4, 100, 8192, 4, idleClose, 100_000, 1, 0, 5_500, 24_000, 20_000, 21_000), words, loop,
                 threads, new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null), new Answering());
     }
 
@@ -82,7 +83,7 @@
     }
 
     /** Every req is for the front itself. */
-    private static final class Words implements ClientWords {
+    private static class Words implements ClientWords {
         @Override
         public boolean own(HttpReq http) {
             return true;
@@ -180,6 +181,24 @@
         assertTrue(answered(c), "what was read is answered");
     }
 
+    /** An error of this program in reading a request is no reason to leave its client without an answer. */
+    @Test
+    void aReqThatCannotBeHandledIsAnsweredAndItsConnectionGoesOn() throws Exception {
+        words = new Words() {
+            @Override
+            public boolean own(HttpReq http) {
+                throw new IllegalStateException("made");
+            }
+        };
+        opened(10, 600_000);
+        runLoop();
+        Socket c = client();
+        for (int i = 0; i < 2; i++) {
+            Peers.say(c, ASK);
+            assertTrue(Peers.hear(c).startsWith("HTTP/1.1 500 "));
+        }
+    }
+
     /** The answer is handed over after the look that ends its connection was asked for, and before it is taken. */
     @Test
     void anAnswerThatIsHandedOverAsItsConnectionEndsIsWritten() throws Exception {
--- a/src/test/java/laurelkeel/loop/LoopTest.java
+++ b/src/test/java/laurelkeel/loop/LoopTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 class LoopTest {
-    private final Loop loop = new Loop(() -> System.nanoTime() / 100_000);
+    private Loop loop = new Loop(() -> System.nanoTime() / 100_000);
 
     private CompletableFuture<Throwable> running() {
         CompletableFuture<Throwable> ended = new CompletableFuture<>();
@@ -48,6 +48,31 @@
         assertEquals(null, ended.get(10, TimeUnit.SECONDS));
     }
 
+    /** What one task meets is no reason to drop what all others hold; an Error is. */
+    @Test
+    void aTaskOrAnAlarmThatFailsEndsNothingAndIsCounted() throws Exception {
+        CountDownLatch after = new CountDownLatch(3);
+        CompletableFuture<Throwable> ended = running();
+        loop.postNews(() -> {
+            throw new IllegalStateException("made");
+        });
+        loop.post(() -> {
+            loop.at(loop.now(), () -> {
+                throw new IllegalStateException("made");
+            });
+            loop.at(loop.now(), after::countDown);
+            throw new IllegalStateException("made");
+        });
+        loop.postNews(after::countDown);
+        loop.post(after::countDown);
+        assertTrue(after.await(10, TimeUnit.SECONDS), "left waiting: " + after.getCount());
+        assertEquals(3, loop.failures());
+        loop.stop();
+        assertEquals(null, ended.get(10, TimeUnit.SECONDS));
+        loop = new Loop(() -> System.nanoTime() / 100_000);
+        endsWith(Loop::post);
+    }
+
     /** What each kind of thread beside the loop throws ends the loop with it. */
     private void endsWith(BiConsumer<Loop, Runnable> runs) throws Exception {
         Error made = new OutOfMemoryError("made");
--- a/src/test/java/laurelkeel/platform/StartOrderTest.java
+++ b/src/test/java/laurelkeel/platform/StartOrderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.InvocationTargetException;
@@ -13,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
+import laurelkeel.api.Action;
 import laurelkeel.api.Action.Verdict;
 import laurelkeel.api.Action.Vote;
 import laurelkeel.api.Decider;
@@ -124,8 +126,13 @@
     }
 
     private static Outfit unableToVote(Outfit node) {
+        return failing(node, "vote");
+    }
+
+    /** One that fails at whatever the decision module asks for by that name. */
+    private static Outfit failing(Outfit node, String name) {
         return (Outfit) Proxy.newProxyInstance(Outfit.class.getClassLoader(), new Class<?>[] {Outfit.class}, (proxy, method, args) -> {
-            if (method.getName().equals("vote")) {
+            if (method.getName().equals(name)) {
                 throw new IllegalArgumentException("made");
             }
             try {
@@ -135,4 +142,33 @@
             }
         });
     }
+
+    @Test
+    void anActionThatCannotBeCarriedOutStopsNoOther() throws Exception {
+        Decider decider = (now, events) -> turns.getAndIncrement() == 0
+                ? List.of(new Action.Tell(1, new byte[0]), new Vote(24, 1, Verdict.ON)) : List.of();
+        Node node = Node.of(config(discovery, control), (settings, seed) -> decider, Base.clock(), of -> failing(of, "tell"));
+        node.front().start();
+        Socket first = control.call();
+        Socket second = control.call();
+        List<String> said = List.of(Stage.lines(first).readLine(), Stage.lines(second).readLine());
+        assertTrue(said.contains("SAY 24 1 approve"), said.toString());
+        node.front().drain();
+        assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
+    }
+
+    /** Closed in whatever state it is: a drain and a failure that come before the start end it once it has started. */
+    @Test
+    void aDrainBeforeTheStartEndsTheFrontAfterIt() throws Exception {
+        Node node = Node.of(config(discovery, control), (settings, seed) -> voter());
+        node.front().drain();
+        node.front().start();
+        assertEquals(null, node.front().ended().get(30, TimeUnit.SECONDS));
+        Node failed = Node.of(config(discovery, control), (settings, seed) -> voter());
+        Error made = new OutOfMemoryError("made");
+        failed.front().fail(made);
+        failed.front().start();
+        assertEquals(made, failed.front().ended().get(30, TimeUnit.SECONDS));
+        assertThrows(IllegalStateException.class, () -> failed.front().start());
+    }
 }
--- a/src/test/java/laurelkeel/records/RecorderTest.java
+++ b/src/test/java/laurelkeel/records/RecorderTest.java
@@ -1,6 +1,7 @@
 package laurelkeel.records;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -40,4 +41,33 @@
         Files.write(file, java.util.Arrays.copyOf(bytes, bytes.length - 4));
         assertEquals(all.subList(0, 2), Recorder.readAll(folder));
     }
+
+    /** A kill may leave half a line; what the next life records must not stand behind it. */
+    @Test
+    void aHalfLineOfALifeBeforeIsCutOffAtTheOpen() throws IOException {
+        Path file = folder.resolve("a.jsonl");
+        List<Rec> all = List.of(new Rec.FrontUp(1, 0, "x"), new Rec.Lost(2, 5));
+        for (String half : List.of("", "{\"kind\":\"fr", "{}".repeat(3))) {
+            Files.deleteIfExists(file);
+            try (Recorder r = new Recorder(file, false)) {
+                r.record(all.get(0));
+            }
+            Files.writeString(file, half, java.nio.file.StandardOpenOption.APPEND);
+            try (Recorder r = new Recorder(file, true)) {
+                r.record(all.get(1));
+            }
+            assertEquals(all, Recorder.readAll(folder));
+        }
+        Files.writeString(file, "{\"half\":");
+        try (Recorder r = new Recorder(file, true)) {
+            all.forEach(r::record);
+        }
+        assertEquals(all, Recorder.readAll(folder));
+    }
+
+    @Test
+    void aPathThatIsWrongIsToldAtTheStart() throws IOException {
+        Files.writeString(folder.resolve("file"), "");
+        assertThrows(IOException.class, () -> new Recorder(folder.resolve("file").resolve("a.jsonl"), true));
+    }
 }
