--- a/src/main/java/laurelkeel/soak/Backend.java
+++ b/src/main/java/laurelkeel/soak/Backend.java
@@ -20,6 +20,8 @@
     /** How long a client may have gone before an attempt for it begins, and how late a drained server may be asked. */
     private static final double SLACK_SECONDS = 0.25;
     private static final int SILENT_MS = 4_000;
+    /** A second copy of an answer comes some milliseconds behind it, and no later where this host runs late. */
+    private static final long EXTRA_NANOS = 7_000_000;
 
     final String id;
     private final Ledger ledger;
@@ -99,9 +101,13 @@
             case NOISE -> write(socket, "\u0001\u0002 noise\r\n\r\n");
             case SILENCE -> Thread.sleep(SILENT_MS);
             case EXTRA_BYTES -> {
+                long before = System.nanoTime();
                 write(socket, length + body);
                 Thread.sleep(drawBelow(5));
-                write(socket, length + body);
+                // later it may meet the next request's wait, where no node could tell it from that one's answer
+                if (System.nanoTime() - before < EXTRA_NANOS) {
+                    write(socket, length + body);
+                }
             }
             case CLOSED_UNANSWERED -> {
                 return false;
--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -26,6 +26,7 @@
     /** A request that comes so long after SIGTERM and is unanswered at SIGKILL is lost (seconds). */
     private static final double TAKEN_AFTER_TERM = 0.7;
     private static final int CONNECT_MS = 1_000;
+    private static final int SHOWN = 40;
 
     /** How a client behaves with one request. */
     private enum Manner { WAITS, LEAVES, HALF_CLOSES, HURRIES }
@@ -177,7 +178,8 @@
         }
         violations.count(reply.status == 200 ? "served" : reply.status == 503 || reply.status == 429 ? "refused" : "failed");
         if (reply.status == 200 && !madeFor(id, reply.body)) {
-            violations.add("lost", id + " was served with what no server made for it, by " + node.name);
+            violations.add("lost", id + " was served by " + node.name + " with what no server made for it: "
+                    + reply.body.substring(0, Math.min(SHOWN, reply.body.length())) + " (" + reply.body.length() + " bytes)");
         }
         if (reply.last || manner == Manner.HALF_CLOSES) {
             close();
--- a/src/main/resources/soak/faults.c
+++ b/src/main/resources/soak/faults.c
@@ -70,6 +70,14 @@
     return (now.tv_sec - started.tv_sec) * 1000 + (now.tv_nsec - started.tv_nsec) / 1000000;
 }
 
+/* 0 to 99, evenly and in no order that a caller could fall in step with */
+static int drawn(void) {
+    uint32_t x = atomic_fetch_add(&draws, 1) * 2654435761u;
+    x = (x ^ x >> 16) * 0x85ebca6bu;
+    x = (x ^ x >> 13) * 0xc2b2ae35u;
+    return (int) ((x ^ x >> 16) % 100);
+}
+
 /* -1: it does not fail; else the error, 0 for a short transfer */
 static int fails(const char *call) {
     if (fault_count == 0) {
@@ -79,8 +87,7 @@
     for (int i = 0; i < fault_count; i++) {
         struct fault *f = &faults[i];
         if (at >= f->from && at < f->until && strcmp(f->call, call) == 0) {
-            uint32_t x = atomic_fetch_add(&draws, 1) * 2654435761u;
-            if ((int) ((x >> 8) % 100) < f->percent) {
+            if (drawn() < f->percent) {
                 return f->error;
             }
         }
