A node that cannot be made leaves no signal's thread waiting

Cause: a signal's thread waits for the node; where making it fails (no descriptor for a selector) that thread would have kept the process alive without one. Read, not run.

--- a/src/main/java/laurelkeel/cli/Serve.java
+++ b/src/main/java/laurelkeel/cli/Serve.java
@@ -42,7 +42,14 @@
             System.err.println("laurelkeel: " + e.getMessage());
             return Cli.BAD_INPUT;
         }
-        Node node = Node.of(config, Shifter::new);
+        Node node;
+        try {
+            node = Node.of(config, Shifter::new);
+        } catch (RuntimeException | Error e) {
+            // signals that wait for it would keep the process alive
+            serving.completeExceptionally(e);
+            throw e;
+        }
         Front front = node.front();
         // threads of libraries too: none may die alone
         Thread.setDefaultUncaughtExceptionHandler((thread, e) -> front.fail(e));
