A late connection serves the next attempt; the soak's stand-ins have addresses of their own

A dial ended exactly at the attempts' limit, while before MINA looked later, so that connections that came up late served the next attempt; and a dial that timed out failed whoever waited first, though that one had its own limit. Change: a dial outlasts the attempt's limit twice, and one that times out fails nobody. Change: each stand-in listens at an address of its own. Measured: DialTest, PoolsTest, FrontTest, BreakingTest, ScarceTest, RareMomentsTest green.

--- a/src/main/java/laurelkeel/front/upstream/Dial.java
+++ b/src/main/java/laurelkeel/front/upstream/Dial.java
@@ -1,7 +1,6 @@
 package laurelkeel.front.upstream;
 
 import java.io.IOException;
-import java.net.ConnectException;
 import java.net.SocketAddress;
 import java.nio.channels.Channel;
 import java.util.function.Consumer;
@@ -31,6 +30,9 @@
         void connected(IoSession session);
 
         void failed(Throwable why);
+
+        /** It did not come up within its limit. */
+        void timedOut();
     }
 
     private final Outcome outcome;
@@ -77,7 +79,7 @@
         if (!closeIfConnected(future)) {
             closeSocket(future);
         }
-        outcome.failed(new ConnectException("no connection in time"));
+        outcome.timedOut();
     }
 
     private static boolean closeIfConnected(ConnectFuture future) {
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -34,6 +34,11 @@
     private static final AttributeKey CONN = new AttributeKey(Pools.class, "conn");
     private static final Logger LOG = LoggerFactory.getLogger(Pools.class);
     private static final int MOST_DIALS = 3;
+    /**
+     * A connection that comes up too late for the attempt that asked for it has been paid for, by both sides, and serves the
+     * next one: it is waited for longer than an attempt waits.
+     */
+    private static final int DIAL_OUTLASTS = 2;
     /** What this host lacks for a dial (a descriptor, a port, a buffer) it mostly lacks for a moment. */
     private static final long AFTER_LACK = 200;
 
@@ -188,7 +193,7 @@
             pool.dialling++;
             dialling++;
             try {
-                Dial.start(connector, loop, Math.max(10, set.dialTimeout()), pool.place.at(), session -> { },
+                Dial.start(connector, loop, Math.max(10, set.dialTimeout() * DIAL_OUTLASTS), pool.place.at(), session -> { },
                         new Dial.Outcome() {
                             @Override
                             public void connected(IoSession session) {
@@ -199,6 +204,11 @@
                             public void failed(Throwable why) {
                                 undialled(pool, theirs(why));
                             }
+
+                            @Override
+                            public void timedOut() {
+                                forgetDial(pool);
+                            }
                         });
             } catch (RuntimeException e) {
                 LOG.error("{} could not be dialled", pool.place.at(), e);
@@ -250,6 +260,14 @@
         free(c);
     }
 
+    /** Whoever waits has a limit of its own, and mostly began to wait later than this dial. */
+    private void forgetDial(Pool pool) {
+        pool.dialling--;
+        dialling--;
+        dial(pool);
+        feed();
+    }
+
     /** @param theirs it is the machine that did not come up, and not this host that lacked something */
     private void undialled(Pool pool, boolean theirs) {
         pool.dialling--;
--- a/src/main/java/laurelkeel/platform/Links.java
+++ b/src/main/java/laurelkeel/platform/Links.java
@@ -95,6 +95,12 @@
                     LOG.info("{} could not be reached: {}", at, String.valueOf(why));
                     ended(link, false);
                 }
+
+                @Override
+                public void timedOut() {
+                    LOG.info("{} did not come up in time", at);
+                    ended(link, false);
+                }
             });
         } catch (RuntimeException e) {
             LOG.warn("{} could not be dialled: {}", at, e.toString());
--- a/src/main/java/laurelkeel/soak/TcpServer.java
+++ b/src/main/java/laurelkeel/soak/TcpServer.java
@@ -9,17 +9,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A listener on loopback with a thread a connection, for stand-ins that misbehave at will. */
 abstract class TcpServer implements AutoCloseable {
     private static final int BACKLOG = 500;
     private static final int LONGEST_LINE = 16 << 10;
+    private static final AtomicInteger ADDRESSES = new AtomicInteger();
 
     private final ServerSocket listener;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
     TcpServer() throws IOException {
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket(0, BACKLOG, nextAddress());
+    }
+
+    /**
+     * Each listener has an address of its own: a node goes on dialling an address that was given up, and must not reach
+     * somebody else who was given its port.
+     */
+    private static InetAddress nextAddress() throws IOException {
+        int n = ADDRESSES.getAndIncrement();
+        return InetAddress.getByAddress(new byte[] {127, (byte) (1 + n / 16_384 % 126), (byte) (n / 128 % 128), (byte) (1 + n % 128)});
     }
 
     /** Called once, when the stand-in is complete. */
@@ -44,7 +55,7 @@
     abstract void serve(Socket socket, InputStream in) throws IOException, InterruptedException;
 
     final String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
     }
 
     /** Takes no new connections; those open stay. */
--- a/src/test/java/laurelkeel/front/upstream/DialTest.java
+++ b/src/test/java/laurelkeel/front/upstream/DialTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,6 +23,7 @@
 
 /** Connections end in their time by the loop's clock, which is driven by hand here, and harm no other that is being opened. */
 class DialTest {
+    private static final String TIMED_OUT = "timed out";
     private static final int LIMIT = 1_000, ROUNDS = 200;
 
     private final AtomicLong clock = new AtomicLong(1_000_000);
@@ -70,6 +70,11 @@
             public void failed(Throwable why) {
                 told.add(why);
             }
+
+            @Override
+            public void timedOut() {
+                told.add(TIMED_OUT);
+            }
         });
     }
 
@@ -92,7 +97,7 @@
             assertEquals(List.of("a turn"), told);
             clock.addAndGet(2);
             Rig.await("it fails", () -> told.size() == 2);
-            assertTrue(told.get(1) instanceof ConnectException, told.toString());
+            assertEquals(TIMED_OUT, told.get(1));
             for (java.net.Socket each : fill) {
                 each.close();
             }
