An end of a client's output is read once, also while its last answer leaves

Cause: read in the change itself: a client that has ended its output and does not read its last answer would have had its end read again and again until the write's limit. Change: reading stops at the end in both cases. Measured: RareMomentsTest, ConnectionEndsTest green.

--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -331,9 +331,9 @@
         @Override
         public void inputClosed(IoSession session) {
             closing(session, CloseReason.CLIENT_CLOSED);
+            // an end that was read once would be read again and again
+            session.suspendRead();
             if (session.getAttribute(CONN) instanceof ClientConn conn && conn.owed.get() > 0) {
-                // an end that was read once would be read again and again
-                session.suspendRead();
                 loop.post(() -> leave(conn));
             } else {
                 session.closeOnFlush();
