Clients' connections have a bound on descriptors that no crowd passes

The acceptor was throttled by connections not yet opened; on a slow core the socket thread opens what keeps coming in one pass and never gets to close what it gave up. Change: accepts wait while clients' connections, opened or not, are as many as their budget; the backlog holds the rest, and the listener is looked at again after 0.2 s without room.

--- a/src/main/java/laurelkeel/front/ingress/ClientAcceptor.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientAcceptor.java
@@ -15,8 +15,8 @@
 
 /**
  * Accepts clients' connections, in three points unlike MINA's acceptor: an accept that fails for a moment (accept(2)
- * names ECONNABORTED, ENFILE, ENOBUFS and more) costs a moment and not a second; connections are not accepted faster than
- * they are looked at, for each one takes a descriptor; and those that the kernel has accepted are taken before the
+ * names ECONNABORTED, ENFILE, ENOBUFS and more) costs a moment and not a second; no more connections than
+ * a bound have a descriptor at a time, however fast they come; and those that the kernel has accepted are taken before the
  * listener closes, for the close would reset them with the requests that their clients have sent.
  */
 final class ClientAcceptor extends NioSocketAcceptor {
@@ -24,20 +24,23 @@
     /** After the first failure in a row none, then a millisecond more each time. */
     private static final int LONGEST_PAUSE_MS = 10;
     private static final long LOOK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
-    /** Looked for that long at most: a connection may end before anybody has looked at it. */
-    private static final int LOOKS = 20;
+    /** Looked for room that often before the listener is looked at again, which may be asked to close. */
+    private static final int LOOKS = 200;
+    /** Accepts that failed, or found no room, after which a closing listener gives the rest up. */
+    private static final int MOST_FAILURES = 20;
 
     private final SimpleIoProcessorPool<NioSession> processors;
-    private final int mostUnopened;
+    private final int most;
     private final AtomicInteger unopened = new AtomicInteger();
     private final AtomicInteger failures = new AtomicInteger();
     private int failuresInARow;
+    private int withoutRoom;
 
-    /** @param mostUnopened how many accepted connections may wait to be looked at */
-    ClientAcceptor(Executor threads, SimpleIoProcessorPool<NioSession> processors, int mostUnopened) {
+    /** @param most connections that may have a descriptor at a time, whatever becomes of them */
+    ClientAcceptor(Executor threads, SimpleIoProcessorPool<NioSession> processors, int most) {
         super(threads, processors);
         this.processors = processors;
-        this.mostUnopened = mostUnopened;
+        this.most = most;
     }
 
     /** A connection that was accepted is looked at now. */
@@ -53,7 +56,10 @@
     /** Null where there is none, or it failed; by the acceptor's own thread. */
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) {
-        awaitOpened();
+        if (!awaitRoom()) {
+            withoutRoom++;
+            return null;
+        }
         try {
             NioSession session = super.accept(processor, handle);
             if (session != null) {
@@ -67,14 +73,22 @@
         }
     }
 
-    private void awaitOpened() {
-        for (int i = 0; i < LOOKS && unopened.get() >= mostUnopened; i++) {
+    /**
+     * A crowd that connects faster than a slow core closes would take every descriptor: what cannot be held waits in the
+     * kernel's backlog, and the thread that closes gets its turn meanwhile. False where it has waited for long.
+     */
+    private boolean awaitRoom() {
+        for (int i = 0; i < LOOKS; i++) {
+            if (getManagedSessionCount() + unopened.get() < most) {
+                return true;
+            }
             LockSupport.parkNanos(LOOK_AGAIN_NANOS);
         }
-        if (unopened.get() >= mostUnopened) {
-            // those that ended before they were looked at are not told
+        if (getManagedSessionCount() < most) {
+            // those that ended before they were opened are not told
             unopened.set(0);
         }
+        return false;
     }
 
     private void failed(Exception e) {
@@ -100,8 +114,8 @@
 
     private void acceptRest() throws Exception {
         boolean more = true;
-        int before = failures.get();
-        while (more && failures.get() - before < LOOKS) {
+        int before = failures.get() + withoutRoom;
+        while (more && failures.get() + withoutRoom - before < MOST_FAILURES) {
             // woken ahead, so that it looks without waiting
             wakeup();
             more = select() > 0;
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -58,7 +58,7 @@
         this.threads = threads;
         this.processors = processors;
         this.door = door;
-        acceptor = new ClientAcceptor(threads, processors, Math.max(1, unopened(set)));
+        acceptor = new ClientAcceptor(threads, processors, set.connections() + set.spare() + 1);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(8192);
         // at a drain the port goes first, and what is held on open connections is still answered
@@ -72,7 +72,7 @@
         acceptor.setHandler(new Handler());
     }
 
-    /** Connections that are accepted and not yet looked at are of the spare places. */
+    /** Of the spare places, those for connections that are accepted and not yet looked at, or on their way out. */
     private static int unopened(IngressSettings set) {
         return Math.min(MOST_UNOPENED, set.spare() / 4);
     }
