No class is missing, and no listener stays, for want of a file descriptor

Cause: a class first needed with no descriptor left cannot be read, which the virtual machine remembers as missing for good; and the listener's close looped for ever over a backlog that could not be accepted, with the loop's thread waiting for it. Change: a front opens every archive of its class path before it starts, and loads its classes where they are no archive (ClassPreloader). An accept without a connection counts as failed, and the closing listener takes what waits for two seconds at most, whatever comes of it. What is held is answered before the listener is closed, and a part that never closes ends with the process after ten seconds. Front's 'stopping' is derived from its state.

--- /dev/null
+++ b/src/main/java/laurelkeel/front/ClassPreloader.java
@@ -0,0 +1,68 @@
+package laurelkeel.front;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.CodeSource;
+import java.util.List;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Makes a class that is first needed late independent of the system's state then. The virtual machine opens a file of the
+ * class path when it first looks into it; with no file descriptor left that fails, the class counts as missing for good,
+ * and the thread that needed it ends with a {@link NoClassDefFoundError}.
+ */
+final class ClassPreloader {
+    private static final Logger LOG = LoggerFactory.getLogger(ClassPreloader.class);
+    /** Found nowhere, so that every archive on the class path is looked into. */
+    private static final String ABSENT = "laurelkeel/front/absent";
+    private static final String CLASS_FILE = ".class";
+
+    private static boolean done;
+
+    private ClassPreloader() { }
+
+    /**
+     * Opens every archive on the class path, which the class loader then holds open. Where this program is a directory of
+     * classes and no archive, as in development, it loads all of them. Once in a process.
+     */
+    static synchronized void preload() {
+        if (done) {
+            return;
+        }
+        done = true;
+        ClassLoader loader = ClassPreloader.class.getClassLoader();
+        loader.getResource(ABSENT);
+        try {
+            CodeSource source = ClassPreloader.class.getProtectionDomain().getCodeSource();
+            Path program = Path.of(source.getLocation().toURI());
+            if (Files.isDirectory(program)) {
+                loadAll(program, loader);
+            }
+        } catch (IOException | URISyntaxException e) {
+            LOG.warn("not all classes could be loaded ahead: {}", e.toString());
+        }
+    }
+
+    private static void loadAll(Path directory, ClassLoader loader) throws IOException {
+        List<Path> files;
+        try (Stream<Path> all = Files.walk(directory)) {
+            files = all.filter(file -> file.toString().endsWith(CLASS_FILE)).toList();
+        }
+        for (Path file : files) {
+            String path = directory.relativize(file).toString();
+            load(path.substring(0, path.length() - CLASS_FILE.length()).replace(file.getFileSystem().getSeparator(), "."), loader);
+        }
+    }
+
+    private static void load(String name, ClassLoader loader) {
+        try {
+            Class.forName(name, false, loader);
+        } catch (ClassNotFoundException | LinkageError e) {
+            LOG.debug("{} is of no use here: {}", name, e.toString());
+        }
+    }
+}
--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import laurelkeel.api.Action;
@@ -47,6 +49,13 @@
     /** Set in the environment: every try that failed is logged, and each second what is held and open. */
     public static final boolean TRACE = System.getenv("LAURELKEEL_TRACE") != null;
 
+    /** How long the listener is tried, and after how long again. */
+    private static final long LISTEN_NANOS = 10_000_000_000L, LISTEN_AGAIN_NANOS = 100_000_000L;
+    /** Totals are logged this often, and at the end. */
+    private static final long TOTALS_EVERY = 600_000;
+    /** What has not closed by then is left to the end of the process. */
+    private static final long CLOSE_LIMIT_MS = 10_000;
+
     private final Settings set;
     private final long drainMost, lameDuck, probeTimeout;
     private final Base base;
@@ -65,7 +74,6 @@
     private final Set<String> named = new HashSet<>();
     private long ids;
     private boolean draining;
-    private volatile boolean stopping;
     private volatile FrontState state = FrontState.CREATED;
     private final RequestTotals totals = new RequestTotals();
     private final CompletableFuture<Throwable> ended = new CompletableFuture<>();
@@ -144,12 +152,6 @@
         state = next;
     }
 
-    /** How long the listener is tried, and after how long again. */
-    private static final long LISTEN_NANOS = 10_000_000_000L, LISTEN_AGAIN_NANOS = 100_000_000L;
-
-    /** Totals are logged this often, and at the end. */
-    private static final long TOTALS_EVERY = 600_000;
-
     private void logTotals() {
         LOG.info("totals: {}, clients' connections {}, closed {}, failed accepts {}, machines' connections {}, failed tasks {}",
                 totals, ingress.connections(), ingress.closed(), ingress.failedAccepts(), pools.open(), loop.failures());
@@ -172,6 +174,7 @@
             throw new IllegalStateException("a front starts once; this one is " + state);
         }
         enter(FrontState.STARTING, "started");
+        ClassPreloader.preload();
         loop.post(pools::begin);
         loop.post(ingress::begin);
         loop.post(() -> loop.at(loop.now() + TOTALS_EVERY, this::logTotalsAgain));
@@ -234,6 +237,7 @@
         Throwable failure = failed;
         enter(FrontState.CLOSING, failure != null ? "it failed: " + failure : "it has drained or its time for that is over");
         logTotals();
+        CompletableFuture.delayedExecutor(CLOSE_LIMIT_MS, TimeUnit.MILLISECONDS).execute(() -> giveUpClosing(failed));
         List<Runnable> ends = new ArrayList<>(List.of(this::endHeld, ingress::close, pools::close));
         // threads of sockets still close those, and end when nothing is left to do
         ends.addAll(outfit.ends());
@@ -250,6 +254,14 @@
         ended.complete(failure);
     }
 
+    /** Never half alive: who waits for its end must not wait for a part that never closes. */
+    private void giveUpClosing(Throwable failed) {
+        TimeoutException late = new TimeoutException("not all of the front was closed within " + CLOSE_LIMIT_MS + " ms");
+        if (ended.complete(failed == null ? late : failed)) {
+            LOG.error("it ends as it is", late);
+        }
+    }
+
     /** From any thread: the front errors what it holds and ends, as when its decider failed. */
     public void fail(Throwable why) {
         loop.fail(why);
@@ -258,7 +270,6 @@
     /** Never half alive: what is still held is errored at once, and nothing more is taken. */
     private void endHeld() {
         draining = true;
-        ingress.unbind();
         for (Held h : List.copyOf(held.values())) {
             for (Held.Sent s : h.sent) {
                 if (!s.over && s.exchange != null) {
@@ -271,6 +282,8 @@
             }
         }
         ingress.flush();
+        // last, for it may have to wait for the thread that accepts
+        ingress.unbind();
     }
 
     /** Done with null after a drain, or with what the front failed of. */
@@ -286,8 +299,7 @@
     public void drain() {
         // also before the start, which then serves for as long as a drain does, and ends
         loop.post(() -> {
-            if (!stopping) {
-                stopping = true;
+            if (state == FrontState.SERVING) {
                 enter(FrontState.DRAINING, "asked to; " + held.size() + " requests held, " + ingress.connections()
                         + " clients' connections");
                 if (lameDuck > 0) {
@@ -334,7 +346,8 @@
 
     @Override
     public String health() {
-        return stopping ? "draining" : ended.isDone() ? "failed" : "ok";
+        boolean failed = ended.getNow(null) != null;
+        return failed ? "failed" : state.leaving() ? "draining" : "ok";
     }
 
     /** One turn's end: all events of it to the decider at once, and its actions in order. */
--- a/src/main/java/laurelkeel/front/ingress/ClientAcceptor.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientAcceptor.java
@@ -26,15 +26,14 @@
     private static final long LOOK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     /** Looked for room that often before the listener is looked at again, which may be asked to close. */
     private static final int LOOKS = 200;
-    /** Accepts that failed, or found no room, after which a closing listener gives the rest up. */
-    private static final int MOST_FAILURES = 20;
+    /** A closing listener accepts what waits in the backlog for so long, and gives the rest up. */
+    private static final long CLOSE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final SimpleIoProcessorPool<NioSession> processors;
     private final int most;
     private final AtomicInteger unopened = new AtomicInteger();
     private final AtomicInteger failures = new AtomicInteger();
     private int failuresInARow;
-    private int withoutRoom;
 
     /** @param most connections that may have a descriptor at a time, whatever becomes of them */
     ClientAcceptor(Executor threads, SimpleIoProcessorPool<NioSession> processors, int most) {
@@ -57,15 +56,17 @@
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) {
         if (!awaitRoom()) {
-            withoutRoom++;
             return null;
         }
         try {
             NioSession session = super.accept(processor, handle);
-            if (session != null) {
-                failuresInARow = 0;
-                unopened.incrementAndGet();
+            if (session == null) {
+                // no descriptor is left: MINA has told so, and waited
+                failures.incrementAndGet();
+                return null;
             }
+            failuresInARow = 0;
+            unopened.incrementAndGet();
             return session;
         } catch (Exception e) {
             failed(e);
@@ -114,8 +115,8 @@
 
     private void acceptRest() throws Exception {
         boolean more = true;
-        int before = failures.get() + withoutRoom;
-        while (more && failures.get() + withoutRoom - before < MOST_FAILURES) {
+        long end = System.nanoTime() + CLOSE_NANOS;
+        while (more && System.nanoTime() < end) {
             // woken ahead, so that it looks without waiting
             wakeup();
             more = select() > 0;
