A platform connection's outcome goes ahead of traffic again

Cause: Dial told every outcome with loop.post; Links had used postNews before it, so under a backlog of traffic discovery's and the control service's connections were taken up after it. Change: Dial is handed the queue. Pools counts a dial as over in one place.

--- a/src/main/java/laurelkeel/front/upstream/Dial.java
+++ b/src/main/java/laurelkeel/front/upstream/Dial.java
@@ -45,11 +45,13 @@
     /**
      * Starts it; on the loop's thread.
      *
+     * @param loop measures the limit
+     * @param post puts what comes of it on that loop: with its traffic, or ahead of it
      * @param limit tenths of a millisecond in which it has to be open
      * @param prepare run on the new session before anything is read from it
      * @throws RuntimeException where nothing was started; outcome is not told then
      */
-    public static void start(NioSocketConnector connector, Loop loop, long limit, SocketAddress to,
+    public static void start(NioSocketConnector connector, Loop loop, Consumer<Runnable> post, long limit, SocketAddress to,
             Consumer<IoSession> prepare, Outcome outcome) {
         Dial dial = new Dial(outcome);
         IoSessionInitializer<ConnectFuture> initializer = (session, future) -> {
@@ -58,7 +60,7 @@
         };
         ConnectFuture future = connector.connect(to, initializer);
         Loop.Alarm alarm = loop.at(loop.now() + limit, () -> dial.abandon(future));
-        future.addListener(f -> loop.post(() -> {
+        future.addListener(f -> post.accept(() -> {
             alarm.cancel();
             dial.ended(future);
         }));
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -193,8 +193,8 @@
             pool.dialling++;
             dialling++;
             try {
-                Dial.start(connector, loop, Math.max(10, set.dialTimeout() * DIAL_OUTLASTS), pool.place.at(), session -> { },
-                        new Dial.Outcome() {
+                Dial.start(connector, loop, loop::post, Math.max(10, set.dialTimeout() * DIAL_OUTLASTS), pool.place.at(),
+                        session -> { }, new Dial.Outcome() {
                             @Override
                             public void connected(IoSession session) {
                                 dialled(pool, session);
@@ -243,9 +243,13 @@
         }
     }
 
-    private void dialled(Pool pool, IoSession session) {
+    private void dialEnded(Pool pool) {
         pool.dialling--;
         dialling--;
+    }
+
+    private void dialled(Pool pool, IoSession session) {
+        dialEnded(pool);
         Conn c = new Conn(pool, session);
         if (session.getAttribute(CONN) != null) {
             // closed before it was ours
@@ -262,16 +266,14 @@
 
     /** Whoever waits has a limit of its own, and mostly began to wait later than this dial. */
     private void forgetDial(Pool pool) {
-        pool.dialling--;
-        dialling--;
+        dialEnded(pool);
         dial(pool);
         feed();
     }
 
     /** @param theirs it is the machine that did not come up, and not this host that lacked something */
     private void undialled(Pool pool, boolean theirs) {
-        pool.dialling--;
-        dialling--;
+        dialEnded(pool);
         Exchange first = pool.waiting.peekFirst();
         if (first != null && !theirs && ++first.dials < MOST_DIALS) {
             loop.at(loop.now() + AFTER_LACK, () -> dial(pool));
--- a/src/main/java/laurelkeel/platform/Links.java
+++ b/src/main/java/laurelkeel/platform/Links.java
@@ -84,7 +84,7 @@
     Link open(InetSocketAddress at, byte[] opening, Heard heard) {
         Link link = new Link(heard);
         try {
-            Dial.start(connector, loop, DIAL, at, session -> session.setAttribute(LINK, link), new Dial.Outcome() {
+            Dial.start(connector, loop, loop::postNews, DIAL, at, session -> session.setAttribute(LINK, link), new Dial.Outcome() {
                 @Override
                 public void connected(IoSession session) {
                     link.connected(session, opening);
--- a/src/test/java/laurelkeel/front/upstream/DialTest.java
+++ b/src/test/java/laurelkeel/front/upstream/DialTest.java
@@ -60,7 +60,7 @@
     }
 
     private void begin(InetSocketAddress to) {
-        Dial.start(connector, loop, LIMIT, to, session -> { }, new Dial.Outcome() {
+        Dial.start(connector, loop, loop::post, LIMIT, to, session -> { }, new Dial.Outcome() {
             @Override
             public void connected(IoSession session) {
                 told.add(session);
--- /dev/null
+++ b/src/test/java/laurelkeel/platform/LinksTest.java
@@ -0,0 +1,75 @@
+package laurelkeel.platform;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import laurelkeel.front.Base;
+import laurelkeel.loop.Loop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the platform's services say goes ahead of traffic on a loop that has fallen behind. */
+class LinksTest {
+    private static final int BACKLOG = 3_000;
+
+    private final Base base = Base.small(Base.clock());
+    private final Loop loop = base.loop();
+    private final Links links = new Links(loop, base.socketThreads(), base.processors(1));
+    private int handled;
+
+    @BeforeEach
+    void run() {
+        Thread runs = new Thread(() -> loop.run(() -> false));
+        runs.setDaemon(true);
+        runs.start();
+    }
+
+    @AfterEach
+    void stop() {
+        loop.stop();
+        links.close();
+    }
+
+    private void handleOne() {
+        handled++;
+        LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(200));
+    }
+
+    /** How much of the backlog was handled when the link's end was told. */
+    private int handledBeforeTheEnd(InetSocketAddress to) throws Exception {
+        CompletableFuture<Integer> told = new CompletableFuture<>();
+        loop.post(() -> {
+            links.open(to, new byte[0], new Links.Heard() {
+                @Override
+                public void bytes(byte[] bytes, long arrived) {
+                    // nothing is said
+                }
+
+                @Override
+                public void closed(boolean written) {
+                    told.complete(handled);
+                }
+            });
+            for (int i = 0; i < BACKLOG; i++) {
+                loop.post(this::handleOne);
+            }
+        });
+        return told.get(60, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aRefusedConnectionIsToldAheadOfTheBacklog() throws Exception {
+        InetSocketAddress nobody;
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            nobody = new InetSocketAddress("127.0.0.1", server.getLocalPort());
+        }
+        int before = handledBeforeTheEnd(nobody);
+        assertTrue(before < BACKLOG / 2, "told after " + before + " of " + BACKLOG);
+    }
+}
