A draining front ends only after its listener has closed and nothing came for 0.2 s

Cause: read, not seen: the end was decided once, 0.2 s ahead, while the listener was still being closed on another thread; a connection taken from the backlog in that while had its attempt stopped. No test of its own: the moment could not be forced. Change: looked at until nothing has been left for 0.2 s, the listener among it. The test now waits for that end and sends the list on the next watch; the assertion stays.

--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -53,6 +53,8 @@
     private static final long LISTEN_NANOS = 10_000_000_000L, LISTEN_AGAIN_NANOS = 100_000_000L;
     /** Totals are logged this often, and at the end. */
     private static final long TOTALS_EVERY = 600_000;
+    /** A front that drains ends once nothing has been left for so long. */
+    private static final long QUIET_BEFORE_END = 2_000;
     /** What has not closed by then is left to the end of the process. */
     private static final long CLOSE_LIMIT_MS = 10_000;
 
@@ -74,6 +76,7 @@
     private final Set<String> named = new HashSet<>();
     private long ids;
     private boolean draining;
+    private boolean listening = true;
     private volatile FrontState state = FrontState.CREATED;
     private final RequestTotals totals = new RequestTotals();
     private final CompletableFuture<Throwable> ended = new CompletableFuture<>();
@@ -319,13 +322,14 @@
             } catch (RuntimeException e) {
                 LOG.error("the listener could not be closed", e);
             }
+            loop.post(() -> listening = false);
         });
         long longest = set.routes().stream().mapToLong(Settings.Route::timeout).max().orElse(0);
         loop.at(loop.now() + Math.max(longest, drainMost), loop::stop);
         if (lameDuck > 0) {
             again();
         }
-        awaitDrained();
+        awaitDrained(loop.now());
     }
 
     /** Connections become idle without an answer that ends them, as after one that crossed with the end. */
@@ -334,13 +338,20 @@
         ingress.closeIdle();
     }
 
-    private void awaitDrained() {
-        boolean left = lameDuck == 0 || ingress.connections() == 0;
-        if (left && held.values().stream().allMatch(h -> h.answered)) {
-            // a moment for what is written to leave
-            loop.at(loop.now() + 2_000, loop::stop);
+    /**
+     * A connection that waited in the backlog may come while the listener is being closed: nothing may be left for a while,
+     * in which what is written leaves too.
+     *
+     * @param busy the last moment at which something was left
+     */
+    private void awaitDrained(long busy) {
+        boolean connected = listening || lameDuck > 0 && ingress.connections() > 0;
+        boolean owes = held.values().stream().anyMatch(h -> !h.answered);
+        long lastBusy = connected || owes ? loop.now() : busy;
+        if (loop.now() - lastBusy >= QUIET_BEFORE_END) {
+            loop.stop();
         } else {
-            loop.at(loop.now() + 100, this::awaitDrained);
+            loop.at(loop.now() + 100, () -> awaitDrained(lastBusy));
         }
     }
 
--- a/src/test/java/laurelkeel/platform/RareMomentsTest.java
+++ b/src/test/java/laurelkeel/platform/RareMomentsTest.java
@@ -76,8 +76,11 @@
             next = p.discovery.call();
             Stage.hear(next);
             assertEquals(2, p.all(Event.MachineList.class).size());
-            // discovery has begun anew: nothing newer comes for longer than it may take
+            // discovery has begun anew: nothing newer comes for longer than it may take, so the silent watch is given up too
             ahead.addAndGet(61_000);
+            assertTrue(Stage.hear(next).contains("<end>"));
+            next = p.discovery.call();
+            Stage.hear(next);
             Stage.say(next, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + old);
             assertEquals(ListKind.FULL, p.event(Event.MachineList.class, 3).kind());
         }
