--- a/src/test/java/laurelkeel/wire/AnswerEndsTest.java
+++ b/src/test/java/laurelkeel/wire/AnswerEndsTest.java
@@ -27,6 +27,13 @@
     private static final String UNTIL_CLOSE = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nall of it";
     private static final String LENGTH = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it";
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n";
+    private static final String INTERIM = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    /** What a machine says to HEAD: the head of an answer whose body does not follow. */
+    private static final List<String> TO_HEAD = List.of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n");
+    /** Statuses whose answers have no body, whatever their head says. */
+    private static final List<String> WITHOUT_BODY = List.of("HTTP/1.1 204 No Content\r\n\r\n",
+            "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n");
     private static final Object CLOSED = "closed";
 
     /** How a server ends its connection, or this side does. */
@@ -71,9 +78,16 @@
 
     /** What the reader was told of an answer that is cut after so many bytes, up to the end of its connection. */
     private List<Object> cut(String answer, int at, Ending ending) throws Exception {
+        return cut(answer, at, ending, false);
+    }
+
+    private List<Object> cut(String answer, int at, Ending ending, boolean toHead) throws Exception {
         IoSession session = connector.connect(new InetSocketAddress("127.0.0.1", server.getLocalPort())).awaitUninterruptibly()
                 .getSession();
         try (Socket peer = server.accept()) {
+            if (toHead) {
+                HttpCodec.nextIsToHead(session);
+            }
             session.write(IoBuffer.wrap("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
             Peer.hear(peer);
             peer.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII), 0, at);
@@ -110,17 +124,40 @@
         }
     }
 
+    /** However its connection ends, and after whatever byte. */
+    private void wholeAtItsLastByte(String answer, boolean toHead) throws Exception {
+        for (int at = 1; at <= answer.length(); at++) {
+            for (Ending ending : Ending.values()) {
+                assertEquals(at == answer.length(), whole(cut(answer, at, ending, toHead)), answer + " " + at + " " + ending);
+            }
+        }
+    }
+
     @Test
     void anAnswerWithALengthOrChunksIsWholeAtItsLastByteHoweverItsConnectionEnds() throws Exception {
-        for (String answer : List.of(LENGTH, CHUNKED)) {
-            for (int at = 1; at <= answer.length(); at++) {
-                for (Ending ending : Ending.values()) {
-                    assertEquals(at == answer.length(), whole(cut(answer, at, ending)), answer + " " + at + " " + ending);
-                }
-            }
+        wholeAtItsLastByte(LENGTH, false);
+        wholeAtItsLastByte(CHUNKED, false);
+    }
+
+    @Test
+    void anAnswerToHeadIsWholeAtTheEndOfItsHead() throws Exception {
+        for (String answer : TO_HEAD) {
+            wholeAtItsLastByte(answer, true);
         }
     }
 
+    @Test
+    void anAnswerThatHasNoBodyIsWholeAtTheEndOfItsHead() throws Exception {
+        for (String answer : WITHOUT_BODY) {
+            wholeAtItsLastByte(answer, false);
+        }
+    }
+
+    @Test
+    void interimAnswersAreNoAnswer() throws Exception {
+        wholeAtItsLastByte(INTERIM + LENGTH, false);
+    }
+
     /** Reads one request without a body. */
     private static final class Peer {
         static void hear(Socket s) throws IOException {
