A key with a try out at a later build does not go back meanwhile

A key was bound only when its try ended; an answer that is written and lies unread (a connection fallen silent, a slow node) binds it 150 ms after it was written. Forced in the model: DefenceTest, k9 went to build 1; RulesTest's rule 5 with that added to its model broke behind lanes. Change: decision.KeyPins holds what binds a key: answers as before, and tries out at a build ahead of the earlier one.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -216,7 +216,7 @@
     private long stageSince;
     private int trial = -1, base = -1, rival = -1;
     private double baseAtStart, threshold;
-    private final Map<String, Integer> pins = new HashMap<>();
+    private final KeyPins pins = new KeyPins();
     private final TreeSet<Integer> released = new TreeSet<>(Set.of(-1));
     private final Set<Integer> takenOff = new HashSet<>();
     private final List<ArrayDeque<Long>> taken = new ArrayList<>();
@@ -387,11 +387,10 @@
         if (phase == Phase.GOING_BACK || phase == Phase.WITHDRAWN) {
             takenOff.add(newsBuild);
             released.remove(newsBuild);
-            pins.values().removeIf(b -> b == newsBuild);
+            pins.sentBack(newsBuild);
         } else if (phase == Phase.RELEASED) {
-            // nothing goes below a released build again, so its keys need no pins
             released.add(newsBuild);
-            pins.values().removeIf(b -> b <= newsBuild);
+            pins.released(newsBuild);
         }
     }
 
@@ -558,13 +557,13 @@
         }
         judgeMachine(was, t, rq);
         judgeBuild(was, t, rq);
-        if (!neverRan && t.outcome() != Outcome.ERROR) {
+        if (rq.is.key() != null) {
+            pins.ended(rq.is.key(), was.to.build);
+        }
+        if (!neverRan && t.outcome() != Outcome.ERROR && binds(rq, was.to.build)) {
             // by the build that answered: one not announced yet can leave the list before its answer comes;
             // an answer that could not be read, or came as the front gave it up, was one all the same
-            boolean ahead = was.to.build > base && !takenOff.contains(was.to.build);
-            if (ahead && rq.is.key() != null && set.rollout().keysStay()) {
-                pins.merge(rq.is.key(), was.to.build, Math::max);
-            }
+            pins.answered(rq.is.key(), was.to.build);
         }
         if (t.outcome() == Outcome.COMPLETED) {
             answeredNow++;
@@ -576,6 +575,11 @@
         touched.add(rq);
     }
 
+    /** An answer of that build to this req keeps its key from earlier ones. */
+    private boolean binds(Rq rq, int build) {
+        return rq.is.key() != null && set.rollout().keysStay() && build > base && !takenOff.contains(build);
+    }
+
     private void judgeMachine(Try was, TryEnded t, Rq rq) {
         Machine m = was.to;
         int r = rq.is.route();
@@ -762,7 +766,7 @@
     }
 
     private Machine choose(Rq rq) {
-        int pin = rq.is.key() == null ? -1 : pins.getOrDefault(rq.is.key(), -1);
+        int pin = rq.is.key() == null ? KeyPins.NONE : pins.of(rq.is.key());
         if (pin > base) {
             return pin == trial && trialOpen(rq, true) ? pick(trial, rq) : null;
         }
@@ -1133,6 +1137,9 @@
             boolean settled = rq.want.started == 0 || now >= rq.want.started + READY;
             int open = rq.want.open;
             rq.out = new Try(rq.tries++, rq.want, now, settled, open, level(open + rq.want.others));
+            if (binds(rq, rq.want.build)) {
+                pins.sent(rq.is.key(), rq.want.build);
+            }
             out.add(new Action.Send(rq.is.id(), rq.want.id, rq.within));
         }
         rq.want = null;
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -566,10 +566,22 @@
         out.add(s);
     }
 
-    /** A later build has answered its key in a lane that is gone, or while lanes were cut anew: this decider knows of none. */
+    /**
+     * A later build has answered its key in a lane that is gone, or while lanes were cut anew, or may have: this decider
+     * knows of none.
+     */
     private boolean wentAhead(Held h, Lane lane, int build) {
-        Kept by = h.key == null ? null : laneOfKey.get(h.key);
-        return by != null && by.lane != lane.id && build < by.build && stands(by.build);
+        if (h.key == null || !set.rollout().keysStay()) {
+            return false;
+        }
+        Kept by = laneOfKey.get(h.key);
+        boolean answered = by != null && by.lane != lane.id && build < by.build && stands(by.build);
+        return answered || lanes.size() > 1 && mayAnswer(h.key, build);
+    }
+
+    /** A try with that key is out at a build later than this: its answer may be written already, and not read. */
+    private boolean mayAnswer(String key, int build) {
+        return held.values().stream().anyMatch(h -> h.out > 0 && key.equals(h.key) && build < h.build && stands(h.build));
     }
 
     /**
--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -61,6 +61,37 @@
         assertTrue(spoilt > 3, "the trial had traffic: " + spoilt);
     }
 
+    /** Its answer may be written already, and lie unread on a connection that has fallen silent. */
+    @Test
+    void aKeyWithATryOutAtTheTrialDoesNotGoBackMeanwhile() {
+        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
+        play.begin(4);
+        play.tells(2, 1, 0.5, Phase.TRIAL);
+        play.lists(Play.machine("t0", 2, 0, MachineState.LIVE, 1), Play.machine("t1", 2, 0, MachineState.LIVE, 1));
+        int out = 0;
+        for (int i = 0; i < 60; i++) {
+            play.pass(Play.SECOND / 20);
+            String key = "k" + i;
+            Play.Sent first = play.outOf(play.req(0, key));
+            if (first != null && first.build() == 2) {
+                out++;
+                // more of them than the cap lets through
+                for (int again = 0; again < 20; again++) {
+                    Play.Sent next = play.outOf(play.req(0, key));
+                    assertTrue(next == null || next.build() == 2, key + " came again, and went to build " + (next == null ? 0 : next.build()));
+                    if (next != null) {
+                        play.ends(next, Outcome.NO_CONNECTION);
+                    }
+                }
+                play.ends(first, Outcome.ERROR);
+                assertEquals(List.of(), play.broken);
+            } else if (first != null) {
+                play.ends(first, Outcome.COMPLETED);
+            }
+        }
+        assertTrue(out > 3, "the trial had traffic: " + out);
+    }
+
     /** On the sockets such machines drew a fifth of all tries, and one of them had a good build sent back. */
     @Test
     void aMachineThatErrsAloneLeavesTheRotationAndCondemnsNoBuild() {
--- a/src/test/java/laurelkeel/Play.java
+++ b/src/test/java/laurelkeel/Play.java
@@ -43,6 +43,7 @@
     final List<Sent> all = new ArrayList<>();
     final List<long[]> taken = new ArrayList<>();
     final Map<String, Integer> answeredBy = new HashMap<>();
+    private final Map<String, String> keys = new HashMap<>();
     final Set<Integer> off = new HashSet<>();
     /** What the front was last told of each build. */
     final TreeMap<Integer, Event.ReleaseNews> told = new TreeMap<>();
@@ -168,6 +169,7 @@
                 answeredBy.values().removeIf(b -> b < n.build() && !told.containsKey(b));
             } else if (e instanceof Event.Req r) {
                 owed.put(r.id(), r);
+                keys.put(r.id(), r.key());
                 tries.put(r.id(), new ArrayList<>());
                 outcomes.put(r.id(), new ArrayList<>());
                 taken.add(new long[] {now, r.route()});
@@ -304,6 +306,11 @@
         return !set.rollout().perRoute() || routeOf.get(req) == route;
     }
 
+    /** A build whose answers bind their keys; of one passed over by the news a front cannot know that it is new. */
+    private boolean ahead(int build) {
+        return !off.contains(build) && (told.containsKey(build) || build > told.lastKey());
+    }
+
     private void sent(Action.Send s) {
         Event.Req r = owed.get(s.req());
         check(1, r != null, "sent though answered: " + s.req());
@@ -327,6 +334,8 @@
             check(5, stage >= set.rollout().guardedStages() || route.effect() == Effect.RETRIABLE, "guarded stage");
         }
         check(5, r.key() == null || m.build() >= answeredBy.getOrDefault(r.key(), 0), "a one-way key went back");
+        check(5, r.key() == null || out.stream().noneMatch(o -> o.at < now && r.key().equals(keys.get(o.req)) && ahead(o.build)
+                && m.build() < o.build), "a one-way key went back while a later build may have answered it");
         Sent sent = new Sent(s.req(), tries.get(s.req()).size(), s.machine(), m.build(), m.zone(), now,
                 silent != null && silent.nextInt(10) == 0 ? Long.MAX_VALUE : now + Math.min(s.within(), r.clientLeaves() - now));
         tries.get(s.req()).add(sent);
