The soak holds nodes up for 0.15 s and has clients that stop half way

Change: event HELD_UP (SIGSTOP and SIGCONT, one to five times); one request in a hundred stops in the middle, and has to have its error or the end of its connection within 3 s.

--- a/src/main/java/laurelkeel/soak/Soak.java
+++ b/src/main/java/laurelkeel/soak/Soak.java
@@ -35,6 +35,8 @@
     /** The old addresses close their open connections so long after SIGHUP. */
     private static final long OLD_ADDRESS_MS = 1_500;
     private static final int CROWD = 500;
+    /** The longest that a node is held up between two of its steps. */
+    private static final int HELD_UP_MS = 150;
     /** Descriptors that no crowd may take. */
     private static final int LEAST_LEFT = 8;
     /** Discovery is down for half of this to one and a half times it. */
@@ -310,6 +312,7 @@
             case SERVER_DRAINS -> drainServer(draws);
             case SERVER_HANGS -> servers.get(draws.nextInt(SERVERS)).hang();
             case CROWD -> crowd(i);
+            case HELD_UP -> holdUp(nodes[i].process, 1 + draws.nextInt(5), draws);
             default -> {
                 synchronized (ports) {
                     toNode(event, i, draws);
@@ -417,6 +420,19 @@
         }
     }
 
+    /** A node may lose its core at any moment, also between reading its clock and writing. */
+    private static void holdUp(NodeProcess process, int times, Random draws) throws IOException, InterruptedException {
+        for (int n = 0; n < times; n++) {
+            process.signal("STOP");
+            try {
+                Thread.sleep(HELD_UP_MS);
+            } finally {
+                process.signal("CONT");
+            }
+            Thread.sleep(HELD_UP_MS + draws.nextInt(500));
+        }
+    }
+
     /** Connections that say nothing, or stop in the middle of a request, far more than a node may hold. */
     private void crowd(int i) throws InterruptedException {
         crowded = true;
--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -25,11 +25,13 @@
     private static final double CROSSING_SECONDS = 0.1;
     /** A request that comes so long after SIGTERM and is unanswered at SIGKILL is lost (seconds). */
     private static final double TAKEN_AFTER_TERM = 0.7;
+    /** A client that sends half a request has its error or the end of its connection within this (seconds). */
+    private static final double BAD_CLIENT_SECONDS = 3;
     private static final int CONNECT_MS = 1_000;
     private static final int SHOWN = 40;
 
     /** How a client behaves with one request. */
-    private enum Manner { WAITS, LEAVES, HALF_CLOSES, HURRIES }
+    private enum Manner { WAITS, LEAVES, HALF_CLOSES, HURRIES, STOPS }
 
     /** What came back. */
     private record Reply(int status, String body, boolean last) { }
@@ -110,11 +112,22 @@
 
     private Manner manner() {
         int drawn = random.nextInt(100);
-        return drawn < 3 ? Manner.LEAVES : drawn < 5 ? Manner.HALF_CLOSES : drawn < 7 ? Manner.HURRIES : Manner.WAITS;
+        if (drawn < 3) {
+            return Manner.LEAVES;
+        } else if (drawn < 5) {
+            return Manner.HALF_CLOSES;
+        } else if (drawn < 7) {
+            return Manner.HURRIES;
+        }
+        return drawn < 8 ? Manner.STOPS : Manner.WAITS;
     }
 
     private void ask() throws InterruptedException {
         Manner manner = manner();
+        if (manner == Manner.STOPS) {
+            stopHalfWay();
+            return;
+        }
         String id = name + "-" + number++;
         double within = manner == Manner.HURRIES ? 0.005 : 0.3 + 1.7 * random.nextDouble();
         ledger.sent(id, within);
@@ -143,6 +156,27 @@
         }
     }
 
+    /** A client that stops in the middle of a request and stays gets its error or the end of its connection in time. */
+    private void stopHalfWay() {
+        String request = request(name + "-" + number++, 1);
+        double before = violations.seconds();
+        try {
+            TcpServer.write(socket, request.substring(0, 1 + random.nextInt(request.length() - 1)));
+            socket.setSoTimeout((int) ((BAD_CLIENT_SECONDS + HOST_SECONDS) * 1000));
+            Reply reply = read();
+            violations.count(reply == null ? "stopped half way: closed" : "stopped half way: " + reply.status);
+        } catch (SocketTimeoutException e) {
+            if (node.process.isAlive() && violations.lateness() < HOST_SECONDS) {
+                violations.add("half", "a client that stopped half way at " + node.name + " heard nothing for "
+                        + String.format(Locale.ROOT, "%.1f", violations.seconds() - before) + " s");
+            }
+        } catch (IOException e) {
+            violations.count("stopped half way: reset");
+        } finally {
+            close();
+        }
+    }
+
     private String request(String id, double within) {
         boolean safe = random.nextBoolean();
         String body = safe ? "" : "b".repeat(random.nextInt(500));
--- a/src/main/java/laurelkeel/soak/SoakPlan.java
+++ b/src/main/java/laurelkeel/soak/SoakPlan.java
@@ -40,7 +40,7 @@
     /** What may happen at one moment of a run. */
     public enum Event {
         RESTART, KILL, TERM_AT_START, NEW_CONFIGURATIONS, NEW_CONFIGURATION_AND_RESTART, NEW_CONFIGURATION_WHILE_DRAINING,
-        DISCOVERY_SILENT, DISCOVERY_DOWN, DISCOVERY_SPOILT, SERVER_DRAINS, SERVER_HANGS, CROWD
+        DISCOVERY_SILENT, DISCOVERY_DOWN, DISCOVERY_SPOILT, SERVER_DRAINS, SERVER_HANGS, CROWD, HELD_UP
     }
 
     /**
