The soak judges no drain through an outage, and measures the host up to the end of a run

Read: an outage lasted until a restart of another node was over, longer than the 6 s that are allowed, and a node whose discovery is down cannot know; the host's lateness was not measured while nodes end; and the thread that measures may run after the one that judges.

--- a/src/main/java/laurelkeel/soak/Soak.java
+++ b/src/main/java/laurelkeel/soak/Soak.java
@@ -134,7 +134,7 @@
                 directory.beat();
             }
         });
-        TcpServer.daemon("watch", this::watchProcesses);
+        Thread watch = TcpServer.daemon("watch", this::watchProcesses);
         Thread lateness = TcpServer.daemon("lateness", violations::measureLateness);
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
@@ -148,6 +148,7 @@
             client.join(5_000);
         }
         lateness.interrupt();
+        watch.interrupt();
         StringBuilder counts = new StringBuilder(String.format("host late by %.0f ms at most", violations.worstLateness() * 1000));
         violations.counts().forEach((what, count) -> counts.append(counts.isEmpty() ? "" : ", ").append(what).append(' ').append(count));
         return new Result(plan, violations.found(), counts.toString());
@@ -248,7 +249,7 @@
 
     /** Ends that nobody asked for, memory and descriptors. */
     private void watchProcesses() throws InterruptedException {
-        while (!ends) {
+        while (true) {
             Thread.sleep(100);
             for (NodeLife life : nodes) {
                 if (life == null) {
@@ -361,7 +362,9 @@
         for (int n = 1 + draws.nextInt(4); n > 0; n--) {
             TcpServer oldDiscovery = discovery[i];
             TcpServer oldControl = control[i];
-            discovery[i] = start(new DiscoveryServer(directory));
+            synchronized (discovery) {
+                discovery[i] = start(new DiscoveryServer(directory));
+            }
             control[i] = start(new ControlServer(violations, draws.nextLong(), 0.05));
             writeConfig(i);
             oldDiscovery.stopListening();
@@ -387,15 +390,20 @@
     /** Nobody listens there; where it moves meanwhile, the new address is up. */
     private void takeDown(int i, int milliseconds) throws IOException, InterruptedException {
         disturbed = true;
-        DiscoveryServer down = discovery[i];
-        InetSocketAddress at = down.at();
-        down.stopListening();
-        down.closeConnections();
-        Thread.sleep(milliseconds);
-        synchronized (ports) {
-            if (discovery[i] == down) {
-                discovery[i] = start(new DiscoveryServer(directory, at));
+        ledger.outageBegins();
+        try {
+            DiscoveryServer down = discovery[i];
+            InetSocketAddress at = down.at();
+            down.stopListening();
+            down.closeConnections();
+            Thread.sleep(milliseconds);
+            synchronized (discovery) {
+                if (discovery[i] == down) {
+                    discovery[i] = start(new DiscoveryServer(directory, at));
+                }
             }
+        } finally {
+            ledger.outageEnds(violations.seconds() + TOLD_SECONDS);
         }
     }
 
