--- a/src/test/java/laurelkeel/DefenceTest.java
+++ b/src/test/java/laurelkeel/DefenceTest.java
@@ -36,12 +36,18 @@
         assertEquals(List.of(), play.broken);
     }
 
-    @Test
-    void aKeyWhoseAnswerFromTheTrialWasSpoiltDoesNotGoBack() {
+    /** Two machines of a build on trial beside four, with a cap of a half. */
+    private static Play trialOfHalf() {
         Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
         play.begin(4);
         play.tells(2, 1, 0.5, Phase.TRIAL);
         play.lists(Play.machine("t0", 2, 0, MachineState.LIVE, 1), Play.machine("t1", 2, 0, MachineState.LIVE, 1));
+        return play;
+    }
+
+    @Test
+    void aKeyWhoseAnswerFromTheTrialWasSpoiltDoesNotGoBack() {
+        Play play = trialOfHalf();
         int spoilt = 0;
         for (int i = 0; i < 60; i++) {
             play.pass(Play.SECOND / 20);
@@ -64,10 +70,7 @@
     /** Its answer may be written already, and lie unread on a connection that has fallen silent. */
     @Test
     void aKeyWithATryOutAtTheTrialDoesNotGoBackMeanwhile() {
-        Play play = new Play(Play.settings(false, 0, Settings.Control.COUNT), 1);
-        play.begin(4);
-        play.tells(2, 1, 0.5, Phase.TRIAL);
-        play.lists(Play.machine("t0", 2, 0, MachineState.LIVE, 1), Play.machine("t1", 2, 0, MachineState.LIVE, 1));
+        Play play = trialOfHalf();
         int out = 0;
         for (int i = 0; i < 60; i++) {
             play.pass(Play.SECOND / 20);
--- a/src/test/java/laurelkeel/wire/AnswerEndsTest.java
+++ b/src/test/java/laurelkeel/wire/AnswerEndsTest.java
@@ -11,11 +11,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.junit.jupiter.api.AfterEach;
@@ -34,12 +31,11 @@
     /** Statuses whose answers have no body, whatever their head says. */
     private static final List<String> WITHOUT_BODY = List.of("HTTP/1.1 204 No Content\r\n\r\n",
             "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n");
-    private static final Object CLOSED = "closed";
 
     /** How a server ends its connection, or this side does. */
     private enum Ending { IN_ORDER, RESET, OURS }
 
-    private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+    private final TellingHandler handler = new TellingHandler();
     private final NioSocketConnector connector = new NioSocketConnector(1);
     private ServerSocket server;
 
@@ -47,27 +43,7 @@
     void open() throws IOException {
         server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
         connector.getFilterChain().addLast("http", HttpCodec.client(new HttpLimits(1024, 8192, 64, 1024)));
-        connector.setHandler(new IoHandlerAdapter() {
-            @Override
-            public void messageReceived(IoSession session, Object message) {
-                told.add(message);
-            }
-
-            @Override
-            public void inputClosed(IoSession session) {
-                session.closeNow();
-            }
-
-            @Override
-            public void exceptionCaught(IoSession session, Throwable cause) {
-                session.closeNow();
-            }
-
-            @Override
-            public void sessionClosed(IoSession session) {
-                told.add(CLOSED);
-            }
-        });
+        connector.setHandler(handler);
     }
 
     @AfterEach
@@ -103,7 +79,7 @@
             }
         }
         List<Object> all = new java.util.ArrayList<>();
-        for (Object next = told.poll(10, TimeUnit.SECONDS); next != CLOSED; next = told.poll(10, TimeUnit.SECONDS)) {
+        for (Object next = handler.told.poll(10, TimeUnit.SECONDS); next != TellingHandler.CLOSED; next = handler.told.poll(10, TimeUnit.SECONDS)) {
             assertTrue(next != null, "the connection did not end");
             all.add(next);
         }
--- a/src/test/java/laurelkeel/wire/RequestEndsTest.java
+++ b/src/test/java/laurelkeel/wire/RequestEndsTest.java
@@ -8,10 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.junit.jupiter.api.AfterEach;
@@ -24,44 +21,17 @@
             "HEAD / HTTP/1.1\r\nHost: a\r\n\r\n",
             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nall of it",
             "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n");
-    private static final Object CLOSED = "closed";
 
     /** How the client ends its connection. */
     private enum Ending { IN_ORDER, OUTPUT_ONLY, RESET }
 
-    private final BlockingQueue<Object> told = new LinkedBlockingQueue<>();
-    private final BlockingQueue<IoSession> opened = new LinkedBlockingQueue<>();
+    private final TellingHandler handler = new TellingHandler();
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
 
     @BeforeEach
     void open() throws Exception {
         acceptor.getFilterChain().addLast("http", HttpCodec.server(new HttpLimits(1024, 8192, 64, 1024)));
-        acceptor.setHandler(new IoHandlerAdapter() {
-            @Override
-            public void sessionOpened(IoSession session) {
-                opened.add(session);
-            }
-
-            @Override
-            public void messageReceived(IoSession session, Object message) {
-                told.add(message);
-            }
-
-            @Override
-            public void inputClosed(IoSession session) {
-                session.closeNow();
-            }
-
-            @Override
-            public void exceptionCaught(IoSession session, Throwable cause) {
-                session.closeNow();
-            }
-
-            @Override
-            public void sessionClosed(IoSession session) {
-                told.add(CLOSED);
-            }
-        });
+        acceptor.setHandler(handler);
         acceptor.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
     }
 
@@ -73,7 +43,7 @@
     /** How many requests were read of one that is cut after so many bytes. */
     private int readOf(String request, int at, Ending ending) throws Exception {
         try (Socket client = new Socket("127.0.0.1", acceptor.getLocalAddress().getPort())) {
-            IoSession session = opened.poll(10, TimeUnit.SECONDS);
+            IoSession session = handler.opened.poll(10, TimeUnit.SECONDS);
             client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII), 0, at);
             // what was sent before a reset may be thrown away with it: it has to be read first
             while (session.getReadBytes() < at) {
@@ -91,7 +61,7 @@
 
     private int untilClosed() throws InterruptedException {
         int requests = 0;
-        for (Object next = told.poll(10, TimeUnit.SECONDS); next != CLOSED; next = told.poll(10, TimeUnit.SECONDS)) {
+        for (Object next = handler.told.poll(10, TimeUnit.SECONDS); next != TellingHandler.CLOSED; next = handler.told.poll(10, TimeUnit.SECONDS)) {
             assertTrue(next instanceof HttpReq, "told " + next);
             requests++;
         }
