--- a/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
+++ b/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
@@ -161,6 +161,10 @@
     /** The loop comes to end what seems idle while the socket thread has a req of it in hand. */
     private void endsWhileOneIsInHand(long older, Runnable end) throws Exception {
         endsWhileOneIsInHand(new Hold(), older, end);
+        assertReadOn();
+    }
+
+    private void assertReadOn() throws IOException {
         Peers.say(inHand, ASK);
         assertTrue(answered(inHand), "and the connection is read on");
     }
@@ -208,6 +212,16 @@
         endsWhileOneIsInHand(hold, 30_000, ingress::sweep);
     }
 
+    /** What made the connection seem idle no longer holds when the thread that reads it comes to look. */
+    @Test
+    void aConnectionThatIsAnsweredBeforeItIsLookedAtIsReadOn() throws Exception {
+        opened(10, 600_000);
+        Hold hold = new Hold();
+        hold.untilAnswered = true;
+        endsWhileOneIsInHand(hold, 30_000, ingress::sweep);
+        assertReadOn();
+    }
+
     @Test
     void aDrainEndsNoConnectionWhoseReqIsBeingRead() throws Exception {
         opened(10, 600_000);
