--- a/src/test/java/laurelkeel/lanes/LanesTest.java
+++ b/src/test/java/laurelkeel/lanes/LanesTest.java
@@ -137,18 +137,16 @@
         }
 
         private double errorShare;
+        /** Answers that a machine gave and that broke on their way. */
+        private double unreadableShare;
 
         void step(List<Event> events) {
             for (Event e : events) {
                 if (e instanceof Event.TryEnded t && t.outcome() == Outcome.COMPLETED) {
                     ended(t.req());
-                    Event.Req r = reqs.get(t.req());
-                    int build = Integer.parseInt(t.machine().substring(1, t.machine().indexOf('.')));
-                    Event.ReleaseNews n = news.get(build);
-                    boolean stands = build > 1 && n != null && (n.phase() == Phase.TRIAL || n.phase() == Phase.RELEASED);
-                    if (r.key() != null && stands) {
-                        answeredBy.merge(r.key(), build, Math::max);
-                    }
+                    answered(t);
+                } else if (e instanceof Event.TryEnded t && t.outcome() == Outcome.BROKEN) {
+                    answered(t);
                 }
             }
             for (Action a : lanes.decide(now, events)) {
@@ -174,6 +172,16 @@
             }
         }
 
+        private void answered(Event.TryEnded t) {
+            String key = reqs.get(t.req()).key();
+            int build = Integer.parseInt(t.machine().substring(1, t.machine().indexOf('.')));
+            Event.ReleaseNews n = news.get(build);
+            boolean stands = build > 1 && n != null && (n.phase() == Phase.TRIAL || n.phase() == Phase.RELEASED);
+            if (key != null && stands) {
+                answeredBy.merge(key, build, Math::max);
+            }
+        }
+
         private void ended(String req) {
             if (!ended.add(req)) {
                 broken.add(now + ": " + req + " ended twice");
@@ -207,7 +215,8 @@
                     broken.add(now + ": guarded stage");
                 }
             }
-            Outcome o = random.nextDouble() < errorShare && m.build() == 2 ? Outcome.ERROR : Outcome.COMPLETED;
+            Outcome o = random.nextDouble() < errorShare && m.build() == 2 ? Outcome.ERROR
+                    : unreadableShare > 0 && random.nextDouble() < unreadableShare ? Outcome.BROKEN : Outcome.COMPLETED;
             due.computeIfAbsent(now + 8 * MS + random.nextInt(100), k -> new ArrayList<>())
                     .add(new Event.TryEnded(s.req(), no, s.machine(), o, 80, o == Outcome.COMPLETED,
                             Map.of()));
@@ -285,48 +294,62 @@
     void daysOfAllKindsBreakNothing() {
         for (int seed = 0; seed < 25; seed++) {
             World w = begun(seed % 2 == 0, seed % 3, seed);
-            Random r = new Random(seed);
-            int next = 2;
-            Map<Integer, Integer> on = new TreeMap<>();
-            for (int turn = 0; turn < 14; turn++) {
-                int what = r.nextInt(6);
-                if (what <= 1 && on.size() < 4 || on.isEmpty()) {
-                    w.machines(next, 1 + r.nextInt(3));
-                    if (r.nextBoolean()) {
-                        w.traffic(200 * MS, 5, 0);
-                    }
-                    w.tells(next, 0, Phase.TRIAL);
-                    on.put(next++, 0);
-                } else {
-                    int build = new ArrayList<>(on.keySet()).get(r.nextInt(on.size()));
-                    int stage = on.get(build);
-                    if (what <= 3 && stage < 2) {
-                        w.machines(build, 3 + 14 * stage);
-                        w.tells(build, stage + 1, Phase.TRIAL);
-                        on.put(build, stage + 1);
-                    } else if (what == 4 && stage == 2) {
-                        for (int older : List.copyOf(on.keySet())) {
-                            if (older < build) {
-                                w.tells(older, on.remove(older), Phase.GOING_BACK);
-                                w.gone(older);
-                            }
+            dayOfAllKinds(w, seed);
+            assertEquals(List.of(), w.broken, "day " + seed);
+            assertTrue(w.lanes.open() <= Lanes.MOST);
+        }
+    }
+
+    @Test
+    void answersThatCannotBeReadBindTheirKeysWhenLanesAreCutAnew() {
+        for (int seed = 0; seed < 25; seed++) {
+            World w = begun(seed % 2 == 0, seed % 3, seed);
+            w.unreadableShare = 0.1;
+            dayOfAllKinds(w, seed);
+            assertEquals(List.of(), w.broken, "day " + seed);
+        }
+    }
+
+    private static void dayOfAllKinds(World w, int seed) {
+        Random r = new Random(seed);
+        int next = 2;
+        Map<Integer, Integer> on = new TreeMap<>();
+        for (int turn = 0; turn < 14; turn++) {
+            int what = r.nextInt(6);
+            if (what <= 1 && on.size() < 4 || on.isEmpty()) {
+                w.machines(next, 1 + r.nextInt(3));
+                if (r.nextBoolean()) {
+                    w.traffic(200 * MS, 5, 0);
+                }
+                w.tells(next, 0, Phase.TRIAL);
+                on.put(next++, 0);
+            } else {
+                int build = new ArrayList<>(on.keySet()).get(r.nextInt(on.size()));
+                int stage = on.get(build);
+                if (what <= 3 && stage < 2) {
+                    w.machines(build, 3 + 14 * stage);
+                    w.tells(build, stage + 1, Phase.TRIAL);
+                    on.put(build, stage + 1);
+                } else if (what == 4 && stage == 2) {
+                    for (int older : List.copyOf(on.keySet())) {
+                        if (older < build) {
+                            w.tells(older, on.remove(older), Phase.GOING_BACK);
+                            w.gone(older);
                         }
-                        w.tells(build, 2, Phase.RELEASED);
-                        on.remove(build);
-                    } else {
-                        w.tells(build, stage, Phase.GOING_BACK);
-                        w.traffic(SECOND / 2, 5, 0);
-                        w.gone(build);
-                        on.remove(build);
-                        // the base comes back in its place
-                        w.machines(1, 8);
-                        w.tells(build, stage, Phase.WITHDRAWN);
                     }
+                    w.tells(build, 2, Phase.RELEASED);
+                    on.remove(build);
+                } else {
+                    w.tells(build, stage, Phase.GOING_BACK);
+                    w.traffic(SECOND / 2, 5, 0);
+                    w.gone(build);
+                    on.remove(build);
+                    // the base comes back in its place
+                    w.machines(1, 8);
+                    w.tells(build, stage, Phase.WITHDRAWN);
                 }
-                w.traffic(SECOND + r.nextInt(30_000), 5 + r.nextInt(10), 0);
             }
-            assertEquals(List.of(), w.broken, "day " + seed);
-            assertTrue(w.lanes.open() <= Lanes.MOST);
+            w.traffic(SECOND + r.nextInt(30_000), 5 + r.nextInt(10), 0);
         }
     }
 
