Over lanes cut anew a key is bound by answers that could not be read, too

Cause: Lanes bound a key at COMPLETED only, where Shifter also does at attempts that may have been served and broke, timed out or were stopped. Change: Outcome.neverRan and mayHaveServed say it once for both; Lanes counts tries out by KeyPins in place of a walk over all held requests a send.

--- a/src/main/java/laurelkeel/api/Event.java
+++ b/src/main/java/laurelkeel/api/Event.java
@@ -6,7 +6,20 @@
 /** What a front learns. Times are tenths of a millisecond. */
 public sealed interface Event {
 
-    enum Outcome { COMPLETED, ERROR, FULL, TIMEOUT, NO_CONNECTION, BROKEN, STOPPED, NOT_SENT }
+    /** How an attempt ended. */
+    enum Outcome {
+        COMPLETED, ERROR, FULL, TIMEOUT, NO_CONNECTION, BROKEN, STOPPED, NOT_SENT;
+
+        /** The machine provably did nothing for the request. */
+        public boolean neverRan() {
+            return this == FULL || this == NO_CONNECTION || this == NOT_SENT;
+        }
+
+        /** The machine has served the request, or may have: its answer may be lost, unread or come too late. */
+        public boolean mayHaveServed() {
+            return !neverRan() && this != ERROR;
+        }
+    }
 
     enum MachineState { LIVE, DRAINING, GONE }
 
--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -545,9 +545,7 @@
         // answers only: silence at some machines says nothing of the others
         usual.recent += t.outcome() == Outcome.COMPLETED ? (t.took() - usual.recent) * 0.1 : 0;
         rq.ended |= t.reqOver();
-        boolean neverRan = t.outcome() == Outcome.FULL || t.outcome() == Outcome.NO_CONNECTION
-                || t.outcome() == Outcome.NOT_SENT;
-        if (!neverRan && rq.firstMayHaveRun == null) {
+        if (!t.outcome().neverRan() && rq.firstMayHaveRun == null) {
             rq.firstMayHaveRun = was;
         }
         Double inHand = t.load().get("concurrent");
@@ -560,7 +558,7 @@
         if (rq.is.key() != null) {
             pins.ended(rq.is.key(), was.to.build);
         }
-        if (!neverRan && t.outcome() != Outcome.ERROR && binds(rq, was.to.build)) {
+        if (t.outcome().mayHaveServed() && binds(rq, was.to.build)) {
             // by the build that answered: one not announced yet can leave the list before its answer comes;
             // an answer that could not be read, or came as the front gave it up, was one all the same
             pins.answered(rq.is.key(), was.to.build);
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -22,6 +22,7 @@
 import laurelkeel.api.Event.Phase;
 import laurelkeel.api.Event.ReleaseNews;
 import laurelkeel.api.Settings;
+import laurelkeel.decision.KeyPins;
 
 /**
  * Several releases on trial behind one front. Each has a decider of its own, made as a front's only one is made, and a
@@ -80,6 +81,8 @@
     private final Map<String, Held> held = new HashMap<>();
     /** Keys that a build on trial has answered, and in which lane: they are never cut anew while that is open. */
     private final Map<String, Kept> laneOfKey = new HashMap<>();
+    /** Tries out at builds that bind their keys, in whichever lane. */
+    private final KeyPins triesOut = new KeyPins();
     /** A build on trial that has taken over for a lane which is gone: nobody goes below it any more. */
     private int least = -1;
     private final Taken all;
@@ -255,16 +258,21 @@
                 t.took(), t.reqOver(), t.load()));
         h.out--;
         h.answered |= t.outcome() == Outcome.COMPLETED || t.reqOver();
-        Release by = releases.get(h.build);
-        boolean ahead = h.build > released && (by == null || !by.sentBack());
-        if (t.outcome() == Outcome.COMPLETED && h.key != null && ahead && set.rollout().keysStay()
-                && laneOfKey.size() < MOST_KEYS) {
+        if (h.key != null) {
+            triesOut.ended(h.key, h.build);
+        }
+        if (t.outcome().mayHaveServed() && binds(h.key, h.build) && laneOfKey.size() < MOST_KEYS) {
             // an answer under way while lanes were cut anew may come late, from an earlier build
             laneOfKey.merge(h.key, new Kept(h.lane.id, h.build), (was, is) -> was.build > is.build ? was : is);
         }
         forget(t.req(), h);
     }
 
+    /** An answer of that build keeps the key, where there is one, from earlier builds. */
+    private boolean binds(String key, int build) {
+        return key != null && set.rollout().keysStay() && stands(build);
+    }
+
     private void forget(String req, Held h) {
         if (h.answered && h.out <= 0) {
             held.remove(req);
@@ -383,8 +391,12 @@
         if (n.phase() == Phase.RELEASED && n.build() > released) {
             released = n.build();
             releases.keySet().removeIf(b -> b < released);
+            triesOut.released(released);
             least = least <= released ? -1 : least;
         }
+        if (now.sentBack()) {
+            triesOut.sentBack(n.build());
+        }
         if (!now.onTrial()) {
             least = least == n.build() ? -1 : least;
             blame.remove(n.build());
@@ -562,6 +574,9 @@
             h.out++;
             h.sent++;
             h.build = build;
+            if (binds(h.key, build)) {
+                triesOut.sent(h.key, build);
+            }
         }
         out.add(s);
     }
@@ -576,12 +591,8 @@
         }
         Kept by = laneOfKey.get(h.key);
         boolean answered = by != null && by.lane != lane.id && build < by.build && stands(by.build);
-        return answered || lanes.size() > 1 && mayAnswer(h.key, build);
-    }
-
-    /** A try with that key is out at a build later than this: its answer may be written already, and not read. */
-    private boolean mayAnswer(String key, int build) {
-        return held.values().stream().anyMatch(h -> h.out > 0 && key.equals(h.key) && build < h.build && stands(h.build));
+        // a try that is out may have been answered already, and that not been read
+        return answered || lanes.size() > 1 && build < triesOut.of(h.key);
     }
 
     /**
