--- a/src/main/java/laurelkeel/cli/BenchCommand.java
+++ b/src/main/java/laurelkeel/cli/BenchCommand.java
@@ -1,5 +1,6 @@
 package laurelkeel.cli;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -11,6 +12,8 @@
 import laurelkeel.bench.Relay;
 import laurelkeel.bench.Streams;
 import laurelkeel.decision.Shifter;
+import laurelkeel.soak.NodeImage;
+import laurelkeel.soak.ScaleBench;
 import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.options.ChainedOptionsBuilder;
@@ -24,7 +27,7 @@
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measures; docs/results/ keeps the tables.",
         subcommands = {BenchCommand.Decisions.class, BenchCommand.StreamSums.class,
             BenchCommand.FrontBeside.class, BenchCommand.RelayAlone.class, BenchCommand.BlameDays.class,
-            BenchCommand.LanesCost.class})
+            BenchCommand.LanesCost.class, BenchCommand.Scale.class})
 final class BenchCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -132,6 +135,41 @@
         }
     }
 
+    @Command(name = "scale", mixinStandardHelpOptions = true, description = {
+        "What a real node needs as the machines become more and smaller: CPU, memory, descriptors, connections, lists.",
+        "The first scale is the usual size; what goes past the acceptance's limits is printed."})
+    static final class Scale implements Callable<Integer> {
+        @Option(names = "--profiles", split = ",", defaultValue = "THIN,SMALL,BUSY", description = "default: ${DEFAULT-VALUE}")
+        private List<ScaleBench.Profile> profiles;
+
+        @Option(names = "--scales", split = ",", defaultValue = "1,4,16", description = "default: ${DEFAULT-VALUE}")
+        private List<Integer> scales;
+
+        @Option(names = "--seconds", defaultValue = "40", description = "of each run (default: ${DEFAULT-VALUE})")
+        private int seconds;
+
+        @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
+        private long seed;
+
+        @Option(names = "--out", defaultValue = "target/bench-scale", description = "folder (default: ${DEFAULT-VALUE})")
+        private Path out;
+
+        @Override
+        public Integer call() throws Exception {
+            if (seconds < 1 || scales.stream().anyMatch(scale -> scale < 1)) {
+                System.err.println("laurelkeel: --seconds and --scales must be above 0");
+                return Cli.BAD_INPUT;
+            }
+            Files.createDirectories(out);
+            NodeImage image = NodeImage.make(out.toAbsolutePath());
+            System.out.println(ScaleBench.HEADER);
+            for (ScaleBench.Profile profile : profiles) {
+                ScaleBench.run(profile, scales, seconds, seed, image, out.toAbsolutePath(), System.out);
+            }
+            return 0;
+        }
+    }
+
     @Command(name = "relay", hidden = true, description = "The bare relay: LISTEN ADMIN PORT,PORT...")
     static final class RelayAlone implements Callable<Integer> {
         @Parameters(index = "0")
--- a/src/main/java/laurelkeel/soak/NodeProcess.java
+++ b/src/main/java/laurelkeel/soak/NodeProcess.java
@@ -101,6 +101,11 @@
         return waits;
     }
 
+    /** Processor time of it since its start, in seconds; 0 where it has ended. */
+    public double cpuSeconds() {
+        return process.info().totalCpuDuration().map(spent -> spent.toMillis() / 1e3).orElse(0.0);
+    }
+
     /** Its peak memory in megabytes; 0 where it has ended. */
     public int peakMemory() {
         try (Stream<String> status = Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
--- /dev/null
+++ b/src/main/java/laurelkeel/soak/ScaleLoad.java
@@ -0,0 +1,140 @@
+package laurelkeel.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Clients that ask one node at a steady rate, each over one connection for as long as it stays open. */
+final class ScaleLoad {
+    private static final int KEYS = 5_000;
+    private static final double SECONDS_LEFT = 2.0;
+
+    private final int port;
+    private final long endNanos;
+    private final List<Thread> clients = new ArrayList<>();
+    private final AtomicInteger asked = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+
+    private ScaleLoad(int port, long endNanos) {
+        this.port = port;
+        this.endNanos = endNanos;
+    }
+
+    /**
+     * Starts clients.
+     *
+     * @param perSecond requests of all of them together
+     */
+    static ScaleLoad start(int port, int clients, int perSecond, int seconds, long seed) {
+        long now = System.nanoTime();
+        ScaleLoad load = new ScaleLoad(port, now + seconds * 1_000_000_000L);
+        long interval = clients * 1_000_000_000L / perSecond;
+        for (int i = 0; i < clients; i++) {
+            Client client = load.new Client("c" + i, new Random(seed * 1_000 + i), now + i * interval / clients, interval);
+            load.clients.add(TcpServer.daemon("client", client));
+        }
+        return load;
+    }
+
+    void join() throws InterruptedException {
+        for (Thread client : clients) {
+            client.join();
+        }
+    }
+
+    int asked() {
+        return asked.get();
+    }
+
+    /** Requests that a machine's whole answer came back for. */
+    int served() {
+        return served.get();
+    }
+
+    private final class Client implements TcpServer.Task {
+        private final String name;
+        private final Random random;
+        private final long interval;
+        private long next;
+        private int number;
+        private Socket socket;
+        private InputStream in;
+
+        Client(String name, Random random, long first, long interval) {
+            this.name = name;
+            this.random = random;
+            this.next = first;
+            this.interval = interval;
+        }
+
+        @Override
+        public void run() throws IOException, InterruptedException {
+            while (next < endNanos) {
+                long wait = next - System.nanoTime();
+                if (wait > 0) {
+                    Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
+                }
+                next += interval;
+                ask();
+            }
+            close();
+        }
+
+        private void ask() throws IOException {
+            asked.incrementAndGet();
+            try {
+                if (socket == null) {
+                    socket = new Socket();
+                    socket.connect(new InetSocketAddress("127.0.0.1", port));
+                    socket.setTcpNoDelay(true);
+                    in = new BufferedInputStream(socket.getInputStream());
+                }
+                TcpServer.write(socket, request());
+                readAnswer();
+            } catch (IOException e) {
+                close();
+            }
+        }
+
+        private String request() {
+            String id = name + "-" + number++;
+            boolean safe = random.nextBoolean();
+            return (safe ? "GET /look/" : "POST /pay/") + id + " HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id
+                    + "\r\nX-Account: acme\r\nX-Session-Key: k" + random.nextInt(KEYS) + "\r\nX-Time-Left: "
+                    + String.format(Locale.ROOT, "%.3f", SECONDS_LEFT) + "\r\n"
+                    + (safe ? "" : "Idempotency-Key: m-" + id + "\r\nContent-Length: 4\r\n") + "\r\n" + (safe ? "" : "body");
+        }
+
+        private void readAnswer() throws IOException {
+            String first = TcpServer.line(in);
+            int length = 0;
+            boolean last = first == null;
+            for (String header = TcpServer.line(in); header != null && !header.isEmpty(); header = TcpServer.line(in)) {
+                String lower = header.toLowerCase(Locale.ROOT);
+                length = lower.startsWith("content-length:") ? Integer.parseInt(lower.substring(15).strip()) : length;
+                last |= lower.equals("connection: close");
+            }
+            boolean whole = in.readNBytes(length).length == length;
+            if (first != null && whole && first.startsWith("HTTP/1.1 200 ")) {
+                served.incrementAndGet();
+            }
+            if (last) {
+                close();
+            }
+        }
+
+        private void close() throws IOException {
+            if (socket != null) {
+                socket.close();
+                socket = null;
+            }
+        }
+    }
+}
--- a/src/main/java/laurelkeel/soak/Soak.java
+++ b/src/main/java/laurelkeel/soak/Soak.java
@@ -160,7 +160,7 @@
         return server;
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket probe = new ServerSocket(0)) {
             return probe.getLocalPort();
         }
@@ -175,13 +175,21 @@
 
     // ---- nodes
 
-    private void writeConfig(int i) throws IOException {
-        String config = "{\"name\":\"n" + i + "\",\"listen\":\"127.0.0.1:" + ports[i] + "\",\"discovery\":\"" + discovery[i].address()
-                + "\",\"seed\":\"" + Long.toHexString(plan.seed() << 16 | configurations.incrementAndGet()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB
-                + ",\"sockets\":" + DESCRIPTORS + "},\"rollouts\":{\"address\":\"" + control[i].address()
+    /** What the platform hands a node. */
+    static String configuration(String name, int index, int port, String discovery, String seed, int memoryMb, int descriptors,
+            String control, String known) {
+        return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"" + seed + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
+                + ",\"sockets\":" + descriptors + "},\"rollouts\":{\"address\":\"" + control
                 + "\",\"news\":{\"build\":" + ControlServer.TRIAL_BUILD
-                + ",\"stage\":1,\"phase\":\"Progressing\",\"cap\":0.5,\"age_ms\":9000}},\"known\":" + directory.list()
-                + ",\"settings\":" + SETTINGS.formatted(i) + "}";
+                + ",\"stage\":1,\"phase\":\"Progressing\",\"cap\":0.5,\"age_ms\":9000}},\"known\":" + known
+                + ",\"settings\":" + SETTINGS.formatted(index) + "}";
+    }
+
+    private void writeConfig(int i) throws IOException {
+        String nodeSeed = Long.toHexString(plan.seed() << 16 | configurations.incrementAndGet());
+        String config = configuration("n" + i, i, ports[i], discovery[i].address(), nodeSeed, MEMORY_MB, DESCRIPTORS,
+                control[i].address(), directory.list());
         Path aside = folder.resolve("n" + i + ".json.new");
         Files.writeString(aside, config);
         Files.move(aside, config(i), StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
@@ -212,7 +220,7 @@
         life.admitted = true;
     }
 
-    private static boolean ready(int port) {
+    static boolean ready(int port) {
         try (Socket probe = new Socket()) {
             probe.connect(new InetSocketAddress("127.0.0.1", port), 500);
             probe.setSoTimeout(500);
