Of many machines a front asks some in turn, more while answers wait

Change: decision.Rotation (docs/design.md): 64 near and 64 far machines, or 8 for each request out, from a ring; wider while answers wait; suspects replaced.

--- a/src/main/java/laurelkeel/decision/Shifter.java
+++ b/src/main/java/laurelkeel/decision/Shifter.java
@@ -46,6 +46,8 @@
     private static final double RETRY_MOST = 10;
     private static final double CROSS = 8;
     private static final double PILE = 1.3;
+    private static final double WAITING = 0.1;
+    private static final double MOST_ILL = 0.125;
     private static final double COLD_USE = 0.7;
     private static final double SHARED = 1.4;
     private static final int LASTING = 10;
@@ -101,19 +103,25 @@
         boolean errsAlone;
         double pace = 1, usualOpen = 1, luck;
         final double far;
-        boolean weighed;
+        final double ringPlace;
+        boolean weighed, inRotation;
         Side side = new Side(List.of());
         int at;
         final ArrayDeque<Long> sends = new ArrayDeque<>();
 
         Machine(Listed is, double far) {
             this.far = far;
+            ringPlace = Rotation.placeOf(is.machine());
             id = is.machine();
             build = is.build();
             zone = is.zone();
             cell = is.cell();
             started = is.started();
         }
+
+        boolean ill() {
+            return strikes >= 2 || errsAlone;
+        }
     }
 
     /**
@@ -124,6 +132,9 @@
         final List<Machine> live;
         final double[] weight, strain, credit;
         final int[] all, fit, struck;
+        /** Those that are asked in turn. */
+        int[] rotation;
+        int strucks;
         boolean warm, plain;
         double size;
 
@@ -136,6 +147,31 @@
             all = java.util.stream.IntStream.range(0, n).toArray();
             fit = new int[n];
             struck = new int[n];
+            rotation = all;
+        }
+
+        void rotate(Rotation by) {
+            double[] places = live.stream().mapToDouble(m -> m.ringPlace).toArray();
+            boolean[] near = new boolean[places.length];
+            boolean[] suspect = new boolean[places.length];
+            boolean[] asked = new boolean[places.length];
+            for (int i = 0; i < near.length; i++) {
+                near[i] = live.get(i).far == 0;
+                suspect[i] = live.get(i).ill();
+                asked[i] = live.get(i).inRotation;
+                live.get(i).inRotation = false;
+            }
+            rotation = by.choose(places, near, suspect, asked);
+            for (int i : rotation) {
+                live.get(i).inRotation = true;
+            }
+            plain = false;
+        }
+
+        /** Its rotation has lost machines to suspicion, and others could take their places. */
+        boolean needsOthers() {
+            return rotation.length < all.length
+                    && Arrays.stream(rotation).filter(i -> live.get(i).ill()).count() > MOST_ILL * rotation.length;
         }
     }
 
@@ -195,6 +231,8 @@
     private final Map<String, Rq> reqs = new HashMap<>();
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Map<Integer, Side> sides = new LinkedHashMap<>();
+    private final Rotation rotation;
+    private long nextRotation;
     private int newestLive = Integer.MIN_VALUE;
     private double liveSize;
     private final LinkedHashSet<Rq> touched = new LinkedHashSet<>();
@@ -240,6 +278,7 @@
 
     public Shifter(Settings settings, long seed) {
         this.set = settings;
+        this.rotation = new Rotation(settings.self(), settings.fronts());
         this.seed = Long.toString(seed).getBytes(StandardCharsets.US_ASCII);
         // of many fronts, some see a lead by mere chance: the fewer votes send a build back, the surer each
         int enough = Math.max(1, settings.rollout().backVotes());
@@ -270,6 +309,7 @@
             nextTick = now + TICK;
             tidy();
             findErrsAlone();
+            adaptRotation();
             raiseThreshold();
         }
         for (Rq rq : List.copyOf(touched)) {
@@ -354,6 +394,7 @@
                 .forEach(m -> builds.computeIfAbsent(m.build, k -> new ArrayList<>()).add(m));
         builds.forEach((build, live) -> {
             Side side = new Side(live);
+            side.rotate(rotation);
             sides.put(build, side);
             for (int i = 0; i < live.size(); i++) {
                 live.get(i).side = side;
@@ -779,40 +820,72 @@
         return m == null && room ? pick(trial, rq) : m;
     }
 
+    /** Where answers wait, more machines are asked in turn; where none do, those that this front's traffic needs. */
+    private void adaptRotation() {
+        if (now < nextRotation) {
+            return;
+        }
+        nextRotation = now + SECOND;
+        int open = times.stream().mapToInt(t -> t.open).sum();
+        double slack = Double.MAX_VALUE;
+        for (int r = 0; r < set.routes().size(); r++) {
+            slack = Math.min(slack, slack(r));
+        }
+        int most = sides.values().stream().mapToInt(side -> side.all.length).max().orElse(0);
+        boolean notable = rotation.adapt(open, wait > WAITING * slack, most);
+        for (Side side : sides.values()) {
+            if (notable || side.needsOthers()) {
+                side.rotate(rotation);
+            }
+        }
+    }
+
     private Machine pick(int build, Rq rq) {
         Side side = sides.get(build);
         if (side == null) {
             return null;
         }
-        int[] from = side.all;
-        int n = from.length;
-        boolean bound = rq.firstMayHaveRun != null, again = !rq.met.isEmpty();
-        if (bound || again || !side.plain) {
-            int fits = 0, strucks = 0;
-            // until something befalls one of them, none is cold, sick or full
-            side.plain = true;
-            for (int i = 0; i < side.all.length; i++) {
-                Machine m = side.live.get(i);
-                if (!m.weighed) {
-                    weigh(m);
-                }
-                side.plain &= m.weighed && m.strikes < 2 && !m.errsAlone && now >= m.fullUntil
-                        && (m.started == 0 || now - m.started >= set.limits().coldFor() + SECOND);
-                if (m.started != 0 && coldFull(m) || bound && !sameGroup(rq, m)) {
-                    continue;
-                }
-                boolean ill = m.strikes >= 2 || m.errsAlone;
-                boolean sick = ill && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
-                if (sick || again && rq.met.contains(m)) {
-                    side.struck[strucks++] = i;
-                } else {
-                    side.fit[fits++] = i;
-                }
+        if (rq.firstMayHaveRun == null && rq.met.isEmpty() && side.plain) {
+            return next(side, side.rotation, side.rotation.length);
+        }
+        int fits = sort(side, side.rotation, rq);
+        if (2 * fits < side.rotation.length && side.rotation.length < side.all.length) {
+            // what befell its machines would pile their requests up at the few that are left
+            fits = sort(side, side.all, rq);
+        }
+        // suspicion alone never empties the rotation
+        return fits == 0 ? next(side, side.struck, side.strucks) : next(side, side.fit, fits);
+    }
+
+    /** Sorts machines into those that fit the request and those that are under suspicion; returns how many fit. */
+    private int sort(Side side, int[] from, Rq rq) {
+        boolean bound = rq.firstMayHaveRun != null;
+        int fits = 0;
+        side.strucks = 0;
+        // until something befalls one of them, none is cold, sick or full
+        side.plain = true;
+        for (int i : from) {
+            Machine m = side.live.get(i);
+            if (!m.weighed) {
+                weigh(m);
+            }
+            side.plain &= m.weighed && !m.ill() && now >= m.fullUntil
+                    && (m.started == 0 || now - m.started >= set.limits().coldFor() + SECOND);
+            if (m.started != 0 && coldFull(m) || bound && !sameGroup(rq, m)) {
+                continue;
+            }
+            boolean sick = m.ill() && (now < m.outUntil || m.open > 0) || now < m.fullUntil;
+            if (sick || rq.met.contains(m)) {
+                side.struck[side.strucks++] = i;
+            } else {
+                side.fit[fits++] = i;
             }
-            // suspicion alone never empties the rotation
-            from = fits == 0 ? side.struck : side.fit;
-            n = fits == 0 ? strucks : fits;
         }
+        return fits;
+    }
+
+    /** The next in turn of those that hold no more than others. */
+    private static Machine next(Side side, int[] from, int n) {
         double least = Double.MAX_VALUE;
         double sum = 0;
         for (int k = 0; k < n; k++) {
