--- a/src/main/java/laurelkeel/decision/Rotation.java
+++ b/src/main/java/laurelkeel/decision/Rotation.java
@@ -17,6 +17,8 @@
     /** Fewer machines than this are all asked; so many near ones, and as many far ones. */
     static final int LEAST = 64;
     private static final int MACHINES_A_REQUEST = 8;
+    /** How much the last second says of the requests out. */
+    private static final double OF_LATE = 0.2;
     private static final double WIDER = 1.5;
     private static final double NARROWER = 0.95;
     /** Chosen anew where the size has changed by this part of it. */
@@ -25,6 +27,7 @@
     private static final double STAYS = 0.5;
 
     private final double start;
+    private double meanOpen;
     private double size = LEAST;
     private double chosen = LEAST;
 
@@ -54,7 +57,8 @@
      * @param most machines of the largest build
      */
     boolean adapt(int open, boolean waiting, int most) {
-        double needed = Math.max(LEAST, MACHINES_A_REQUEST * open);
+        meanOpen += (open - meanOpen) * OF_LATE;
+        double needed = Math.max(LEAST, MACHINES_A_REQUEST * meanOpen);
         double wanted = waiting ? size * WIDER : size * NARROWER;
         size = Math.max(needed, Math.min(wanted, Math.max(LEAST, most)));
         boolean notable = Math.abs(size - chosen) > NOTABLE * chosen;
--- a/src/main/java/laurelkeel/front/upstream/Dial.java
+++ b/src/main/java/laurelkeel/front/upstream/Dial.java
@@ -7,6 +7,7 @@
 import laurelkeel.loop.Loop;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.polling.AbstractPollingIoConnector;
+import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionInitializer;
@@ -103,9 +104,19 @@
         }
     }
 
-    /** To be called as a session opens: it may have come up in the moment in which it was given up, and nobody has it then. */
-    public static void closeIfAbandoned(IoSession session) {
-        if (session.getAttribute(DIAL) instanceof Dial dial && dial.abandoned) {
+    /** Handles what happens on connections that were opened so, for their connector. */
+    public abstract static class Handler extends IoHandlerAdapter {
+        /** It may have come up in the moment in which it was given up, and nobody has it then. */
+        @Override
+        public final void sessionOpened(IoSession session) {
+            if (session.getAttribute(DIAL) instanceof Dial dial && dial.abandoned) {
+                session.closeNow();
+            }
+        }
+
+        /** A server that has ended its output in order answers nothing any more. */
+        @Override
+        public final void inputClosed(IoSession session) {
             session.closeNow();
         }
     }
--- a/src/main/java/laurelkeel/front/upstream/Pools.java
+++ b/src/main/java/laurelkeel/front/upstream/Pools.java
@@ -17,7 +17,6 @@
 import laurelkeel.wire.HttpCodec;
 import laurelkeel.wire.Room;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -408,7 +407,7 @@
         pools.values().removeIf(p -> p.open == 0 && p.dialling == 0 && p.waiting.isEmpty());
     }
 
-    private final class Handler extends IoHandlerAdapter {
+    private final class Handler extends Dial.Handler {
         @Override
         public void messageReceived(IoSession session, Object message) {
             Object read = message instanceof HttpAnswer a ? words.came(a) : message;
@@ -429,16 +428,6 @@
             });
         }
 
-        @Override
-        public void sessionOpened(IoSession session) {
-            Dial.closeIfAbandoned(session);
-        }
-
-        @Override
-        public void inputClosed(IoSession session) {
-            session.closeNow();
-        }
-
         @Override
         public void sessionClosed(IoSession session) {
             loop.post(() -> {
--- a/src/main/java/laurelkeel/platform/Links.java
+++ b/src/main/java/laurelkeel/platform/Links.java
@@ -5,7 +5,6 @@
 import laurelkeel.front.upstream.Dial;
 import laurelkeel.loop.Loop;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -116,7 +115,7 @@
         }
     }
 
-    private final class Handler extends IoHandlerAdapter {
+    private final class Handler extends Dial.Handler {
         @Override
         public void messageReceived(IoSession session, Object message) {
             IoBuffer in = (IoBuffer) message;
@@ -131,16 +130,6 @@
             });
         }
 
-        @Override
-        public void sessionOpened(IoSession session) {
-            Dial.closeIfAbandoned(session);
-        }
-
-        @Override
-        public void inputClosed(IoSession session) {
-            session.closeNow();
-        }
-
         @Override
         public void sessionClosed(IoSession session) {
             Link link = (Link) session.getAttribute(LINK);
--- a/src/main/java/laurelkeel/soak/Backend.java
+++ b/src/main/java/laurelkeel/soak/Backend.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
-import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 
@@ -58,12 +56,8 @@
     @Override
     void serve(Socket socket, InputStream in) throws IOException, InterruptedException {
         for (String first = line(in); first != null; first = line(in)) {
-            Map<String, String> headers = new HashMap<>();
-            for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
-                int colon = header.indexOf(':');
-                headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).strip());
-            }
-            in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+            Map<String, String> headers = headers(in);
+            in.readNBytes(contentLength(headers));
             if (hangs) {
                 Thread.sleep(SILENT_MS);
                 return;
--- a/src/main/java/laurelkeel/soak/MachineFleet.java
+++ b/src/main/java/laurelkeel/soak/MachineFleet.java
@@ -5,7 +5,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -76,11 +75,7 @@
     /** False where none comes any more. */
     private static boolean readRequest(InputStream in) throws IOException {
         String first = line(in);
-        int length = 0;
-        for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
-            String lower = header.toLowerCase(Locale.ROOT);
-            length = lower.startsWith("content-length:") ? Integer.parseInt(lower.substring(15).strip()) : length;
-        }
+        int length = contentLength(headers(in));
         return first != null && in.readNBytes(length).length == length;
     }
 }
--- a/src/main/java/laurelkeel/soak/ScaleLoad.java
+++ b/src/main/java/laurelkeel/soak/ScaleLoad.java
@@ -15,6 +15,7 @@
 final class ScaleLoad {
     private static final int KEYS = 5_000;
     private static final double SECONDS_LEFT = 2.0;
+    private static final int OK = 200;
 
     private final int port;
     private final long endNanos;
@@ -113,19 +114,11 @@
         }
 
         private void readAnswer() throws IOException {
-            String first = TcpServer.line(in);
-            int length = 0;
-            boolean last = first == null;
-            for (String header = TcpServer.line(in); header != null && !header.isEmpty(); header = TcpServer.line(in)) {
-                String lower = header.toLowerCase(Locale.ROOT);
-                length = lower.startsWith("content-length:") ? Integer.parseInt(lower.substring(15).strip()) : length;
-                last |= lower.equals("connection: close");
-            }
-            boolean whole = in.readNBytes(length).length == length;
-            if (first != null && whole && first.startsWith("HTTP/1.1 200 ")) {
+            Reply reply = Reply.read(in);
+            if (reply != null && reply.status() == OK) {
                 served.incrementAndGet();
             }
-            if (last) {
+            if (reply == null || reply.last()) {
                 close();
             }
         }
--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
@@ -33,9 +32,6 @@
     /** How a client behaves with one request. */
     private enum Manner { WAITS, LEAVES, HALF_CLOSES, HURRIES, STOPS }
 
-    /** What came back. */
-    private record Reply(int status, String body, boolean last) { }
-
     private final Violations violations;
     private final Ledger ledger;
     private final Function<Random, NodeLife> nodes;
@@ -146,7 +142,7 @@
                 socket.shutdownOutput();
             }
             socket.setSoTimeout((int) ((within + LATE_SECONDS + HOST_SECONDS) * 1000));
-            judge(id, read(), manner);
+            judge(id, Reply.read(in), manner);
         } catch (SocketTimeoutException e) {
             lost(id, sentAt, "has no answer " + (LATE_SECONDS + HOST_SECONDS) + " s after its time");
             close();
@@ -163,8 +159,8 @@
         try {
             TcpServer.write(socket, request.substring(0, 1 + random.nextInt(request.length() - 1)));
             socket.setSoTimeout((int) ((BAD_CLIENT_SECONDS + HOST_SECONDS) * 1000));
-            Reply reply = read();
-            violations.count(reply == null ? "stopped half way: closed" : "stopped half way: " + reply.status);
+            Reply reply = Reply.read(in);
+            violations.count(reply == null ? "stopped half way: closed" : "stopped half way: " + reply.status());
         } catch (SocketTimeoutException e) {
             if (node.process.isAlive() && violations.lateness() < HOST_SECONDS) {
                 violations.add("half", "a client that stopped half way at " + node.name + " heard nothing for "
@@ -186,36 +182,16 @@
                 + (safe ? "" : "Idempotency-Key: m-" + id + "\r\nContent-Length: " + body.length() + "\r\n") + "\r\n" + body;
     }
 
-    /** Null where the connection ended in order before a byte of an answer. */
-    private Reply read() throws IOException {
-        String first = TcpServer.line(in);
-        if (first == null) {
-            return null;
-        }
-        int length = 0;
-        boolean last = false;
-        for (String header = TcpServer.line(in); header != null && !header.isEmpty(); header = TcpServer.line(in)) {
-            String lower = header.toLowerCase(Locale.ROOT);
-            length = lower.startsWith("content-length:") ? Integer.parseInt(lower.substring(15).strip()) : length;
-            last |= lower.equals("connection: close");
-        }
-        byte[] body = in.readNBytes(length);
-        if (body.length < length || first.length() < 12) {
-            throw new IOException("an answer that stopped short");
-        }
-        return new Reply(Integer.parseInt(first.substring(9, 12)), new String(body, StandardCharsets.ISO_8859_1), last);
-    }
-
     private void judge(String id, Reply reply, Manner manner) throws IOException {
         if (reply == null) {
             throw new IOException("ended in order");
         }
-        violations.count(reply.status == 200 ? "served" : reply.status == 503 || reply.status == 429 ? "refused" : "failed");
-        if (reply.status == 200 && !madeFor(id, reply.body)) {
+        violations.count(reply.status() == 200 ? "served" : reply.status() == 503 || reply.status() == 429 ? "refused" : "failed");
+        if (reply.status() == 200 && !madeFor(id, reply.body())) {
             violations.add("lost", id + " was served by " + node.name + " with what no server made for it: "
-                    + reply.body.substring(0, Math.min(SHOWN, reply.body.length())) + " (" + reply.body.length() + " bytes)");
+                    + reply.body().substring(0, Math.min(SHOWN, reply.body().length())) + " (" + reply.body().length() + " bytes)");
         }
-        if (reply.last || manner == Manner.HALF_CLOSES) {
+        if (reply.last() || manner == Manner.HALF_CLOSES) {
             close();
         }
     }
--- a/src/main/java/laurelkeel/soak/TcpServer.java
+++ b/src/main/java/laurelkeel/soak/TcpServer.java
@@ -8,6 +8,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -121,6 +124,23 @@
         return null;
     }
 
+    /** Header lines up to the empty one, by their names in lower case. */
+    static Map<String, String> headers(InputStream in) throws IOException {
+        Map<String, String> headers = new HashMap<>();
+        for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
+            int colon = header.indexOf(':');
+            if (colon > 0) {
+                headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).strip());
+            }
+        }
+        return headers;
+    }
+
+    /** The length of a body that these headers announce. */
+    static int contentLength(Map<String, String> headers) {
+        return Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    }
+
     static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/src/test/java/laurelkeel/front/Rig.java
+++ b/src/test/java/laurelkeel/front/Rig.java
@@ -17,6 +17,7 @@
 import laurelkeel.day.DayPlan;
 import laurelkeel.day.Trouble;
 import laurelkeel.day.World;
+import laurelkeel.loop.Loop;
 import laurelkeel.records.Rec;
 import laurelkeel.records.Recorder;
 
@@ -116,6 +117,13 @@
         return records.stream().filter(kind::isInstance).map(kind::cast).filter(which).count();
     }
 
+    /** Runs a loop on a thread of its own, until it is stopped. */
+    public static void run(Loop loop) {
+        Thread runs = new Thread(() -> loop.run(() -> false));
+        runs.setDaemon(true);
+        runs.start();
+    }
+
     /** Waits for a condition, 30 s at the most; a test that reaches that fails. */
     public static void await(String what, BooleanSupplier held) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
--- a/src/test/java/laurelkeel/platform/LinksTest.java
+++ b/src/test/java/laurelkeel/platform/LinksTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import laurelkeel.front.Base;
+import laurelkeel.front.Rig;
 import laurelkeel.loop.Loop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,9 +26,7 @@
 
     @BeforeEach
     void run() {
-        Thread runs = new Thread(() -> loop.run(() -> false));
-        runs.setDaemon(true);
-        runs.start();
+        Rig.run(loop);
     }
 
     @AfterEach
