Test that fails: requests read while the decider fails get no answer

An open risk of the incident's postmortem, forced: the loop is held up in a turn that fails, two more requests are read meanwhile; both connections end without an answer for them.

--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -289,6 +289,10 @@
         ingress.unbind();
     }
 
+    Loop loop() {
+        return loop;
+    }
+
     /** Done with null after a drain, or with what the front failed of. */
     public CompletableFuture<Throwable> ended() {
         return ended;
--- /dev/null
+++ b/src/test/java/laurelkeel/front/FrontEndsTest.java
@@ -0,0 +1,57 @@
+package laurelkeel.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import laurelkeel.api.Action;
+import laurelkeel.api.Event;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A front that ends, for whatever reason, answers what it has read. */
+class FrontEndsTest {
+    @TempDir
+    Path folder;
+
+    private final CountDownLatch entered = new CountDownLatch(1);
+    private final CountDownLatch go = new CountDownLatch(1);
+    private final AtomicBoolean failed = new AtomicBoolean();
+
+    /** Holds the loop up at the first request, and fails once it is let go. */
+    private List<Action> fail(Event event) {
+        if (!(event instanceof Event.Req) || failed.getAndSet(true)) {
+            return List.of();
+        }
+        entered.countDown();
+        try {
+            go.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        throw new IllegalStateException("made to fail");
+    }
+
+    @Test
+    void requestsThatAreReadWhileTheDeciderFailsAreRefused() throws Exception {
+        try (Peers peers = new Peers(folder, "", (p, event) -> fail(event))) {
+            Socket first = peers.client();
+            Peers.say(first, Peers.look(""));
+            assertTrue(entered.await(10, TimeUnit.SECONDS));
+            Socket other = peers.client();
+            Peers.say(other, Peers.look(""));
+            Peers.say(first, Peers.look(""));
+            Rig.await("both are read", () -> peers.front.loop().backlog() >= 2);
+            go.countDown();
+            assertTrue(Peers.hear(first).startsWith("HTTP/1.1 502 "), "it may have run, for all that is known");
+            assertTrue(Peers.hear(other).startsWith("HTTP/1.1 503 "), "it was read and not begun");
+            assertTrue(Peers.hear(first).startsWith("HTTP/1.1 503 "), "it waited behind another");
+            assertEquals("made to fail", peers.front.ended().get(10, TimeUnit.SECONDS).getMessage());
+        }
+    }
+}
