A front that ends refuses the requests that it has read and not begun

Cause: at the loop's end (a decider that failed, a drain's last moment) what was posted and had no turn was dropped, and with it requests that were read: their connections ended unanswered. Change: after the held are answered and the listener is closed, the rest of the queue runs with the door refusing, and connections that owe nothing end by the thread that reads them, for 0.3 s at most.

--- a/src/main/java/laurelkeel/front/Front.java
+++ b/src/main/java/laurelkeel/front/Front.java
@@ -51,6 +51,9 @@
 
     /** How long the listener is tried, and after how long again. */
     private static final long LISTEN_NANOS = 10_000_000_000L, LISTEN_AGAIN_NANOS = 100_000_000L;
+    /** Connections are given so long to take their last answers before the rest is closed as it is. */
+    private static final long REFUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long REFUSE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     /** Totals are logged this often, and at the end. */
     private static final long TOTALS_EVERY = 600_000;
     /** A front that drains ends once nothing has been left for so long. */
@@ -76,6 +79,7 @@
     private final Set<String> named = new HashSet<>();
     private long ids;
     private boolean draining;
+    private boolean decidesNoMore;
     private boolean listening = true;
     private volatile FrontState state = FrontState.CREATED;
     private final RequestTotals totals = new RequestTotals();
@@ -273,6 +277,7 @@
     /** Never half alive: what is still held is errored at once, and nothing more is taken. */
     private void endHeld() {
         draining = true;
+        decidesNoMore = true;
         for (Held h : List.copyOf(held.values())) {
             for (Held.Sent s : h.sent) {
                 if (!s.over && s.exchange != null) {
@@ -285,8 +290,20 @@
             }
         }
         ingress.flush();
-        // last, for it may have to wait for the thread that accepts
+        // after that, for it may have to wait for the thread that accepts
         ingress.unbind();
+        refuseRest();
+    }
+
+    /** Requests that were read and not begun are refused, and connections that owe nothing end before more is read off them. */
+    private void refuseRest() {
+        long end = System.nanoTime() + REFUSE_NANOS;
+        do {
+            loop.runRest();
+            ingress.flush();
+            ingress.closeIdle();
+            LockSupport.parkNanos(REFUSE_AGAIN_NANOS);
+        } while (ingress.connections() > 0 && System.nanoTime() < end);
     }
 
     Loop loop() {
@@ -624,5 +641,10 @@
         public boolean draining() {
             return draining;
         }
+
+        @Override
+        public boolean ended() {
+            return decidesNoMore;
+        }
     }
 }
--- a/src/main/java/laurelkeel/front/ingress/Door.java
+++ b/src/main/java/laurelkeel/front/ingress/Door.java
@@ -17,4 +17,7 @@
     int held();
 
     boolean draining();
+
+    /** Nothing is decided any more: what still comes is refused. */
+    boolean ended();
 }
--- a/src/main/java/laurelkeel/loop/Loop.java
+++ b/src/main/java/laurelkeel/loop/Loop.java
@@ -176,6 +176,15 @@
         }
     }
 
+    /**
+     * Runs what was posted and had no turn, on the loop's thread once run has ended: others may be owed something for it. Nothing
+     * is decided any more, for no turn's end is called.
+     */
+    public void runRest() {
+        drain(news, Integer.MAX_VALUE);
+        drain(posted, Integer.MAX_VALUE);
+    }
+
     /** Tasks and alarms that failed since the start; on any thread. */
     public int failures() {
         return failures;
--- a/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
+++ b/src/test/java/laurelkeel/front/ingress/ConnectionEndsTest.java
@@ -137,6 +137,11 @@
         public boolean draining() {
             return false;
         }
+
+        @Override
+        public boolean ended() {
+            return false;
+        }
     }
 
     /** Holds what the socket thread has read off a connection, before anything is made of it. */
