--- a/src/main/java/laurelkeel/soak/NodeImage.java
+++ b/src/main/java/laurelkeel/soak/NodeImage.java
@@ -20,7 +20,7 @@
  */
 public final class NodeImage {
     /** As deploy/node.args. */
-    private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xms24m",
+    static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xms24m",
             "-Xmx48m", "-Xss256k", "-XX:MaxMetaspaceSize=48m", "-XX:ReservedCodeCacheSize=24m",
             "-XX:MaxDirectMemorySize=8m", "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true");
     private static final String MAIN = "laurelkeel.cli.Main";
--- /dev/null
+++ b/src/test/java/laurelkeel/soak/NodeImageTest.java
@@ -0,0 +1,18 @@
+package laurelkeel.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The soak starts nodes as the platform does. */
+class NodeImageTest {
+    @Test
+    void itsOptionsAreThoseOfTheDeployment() throws Exception {
+        List<String> deployed = Files.readAllLines(Path.of("deploy", "node.args")).stream()
+                .filter(line -> line.startsWith("-")).toList();
+        assertEquals(deployed, NodeImage.JVM);
+    }
+}
