--- a/src/main/java/laurelkeel/decision/KeyPins.java
+++ b/src/main/java/laurelkeel/decision/KeyPins.java
@@ -8,21 +8,21 @@
  * Behind which build a key may not go back, where keys move one way. A build binds a key by its answer; and while a try is
  * out it may have answered already, for an answer can lie unread on a connection that has fallen silent.
  */
-public final class KeyPins {
+final class KeyPins {
     /** No build binds the key. */
-    public static final int NONE = -1;
+    static final int NONE = -1;
 
     private final Map<String, Integer> answered = new HashMap<>();
     /** Tries out, by key and build. */
     private final Map<String, TreeMap<Integer, Integer>> awaited = new HashMap<>();
 
     /** A try goes to a build ahead of the earlier one. */
-    public void sent(String key, int build) {
+    void sent(String key, int build) {
         awaited.computeIfAbsent(key, k -> new TreeMap<>()).merge(build, 1, Integer::sum);
     }
 
     /** A try has ended; one of which sent was not told is passed over. */
-    public void ended(String key, int build) {
+    void ended(String key, int build) {
         TreeMap<Integer, Integer> tries = awaited.get(key);
         if (tries == null) {
             return;
@@ -39,7 +39,7 @@
     }
 
     /** The build behind which the key may not go back; NONE where there is none. */
-    public int of(String key) {
+    int of(String key) {
         TreeMap<Integer, Integer> tries = awaited.get(key);
         int out = tries == null ? NONE : tries.lastKey();
         return Math.max(out, answered.getOrDefault(key, NONE));
@@ -51,14 +51,14 @@
     }
 
     /** The build binds no key any more. */
-    public void sentBack(int build) {
+    void sentBack(int build) {
         answered.values().removeIf(by -> by == build);
         awaited.values().forEach(tries -> tries.remove(build));
         awaited.values().removeIf(TreeMap::isEmpty);
     }
 
     /** Nothing goes below a released build again, so keys of it and of earlier ones need no pins. */
-    public void released(int build) {
+    void released(int build) {
         answered.values().removeIf(by -> by <= build);
         awaited.values().forEach(tries -> tries.headMap(build, true).clear());
         awaited.values().removeIf(TreeMap::isEmpty);
--- a/src/main/java/laurelkeel/lanes/Lanes.java
+++ b/src/main/java/laurelkeel/lanes/Lanes.java
@@ -22,7 +22,6 @@
 import laurelkeel.api.Event.Phase;
 import laurelkeel.api.Event.ReleaseNews;
 import laurelkeel.api.Settings;
-import laurelkeel.decision.KeyPins;
 
 /**
  * Several releases on trial behind one front. Each has a decider of its own, made as a front's only one is made, and a
@@ -82,7 +81,7 @@
     /** Keys that a build on trial has answered, and in which lane: they are never cut anew while that is open. */
     private final Map<String, Kept> laneOfKey = new HashMap<>();
     /** Tries out at builds that bind their keys, in whichever lane. */
-    private final KeyPins triesOut = new KeyPins();
+    private final TriesOut triesOut = new TriesOut();
     /** A build on trial that has taken over for a lane which is gone: nobody goes below it any more. */
     private int least = -1;
     private final Taken all;
@@ -391,12 +390,8 @@
         if (n.phase() == Phase.RELEASED && n.build() > released) {
             released = n.build();
             releases.keySet().removeIf(b -> b < released);
-            triesOut.released(released);
             least = least <= released ? -1 : least;
         }
-        if (now.sentBack()) {
-            triesOut.sentBack(n.build());
-        }
         if (!now.onTrial()) {
             least = least == n.build() ? -1 : least;
             blame.remove(n.build());
@@ -592,7 +587,7 @@
         Kept by = laneOfKey.get(h.key);
         boolean answered = by != null && by.lane != lane.id && build < by.build && stands(by.build);
         // a try that is out may have been answered already, and that not been read
-        return answered || lanes.size() > 1 && build < triesOut.of(h.key);
+        return answered || lanes.size() > 1 && build < triesOut.latest(h.key, this::stands);
     }
 
     /**
