--- a/src/main/java/laurelkeel/decision/Rotation.java
+++ b/src/main/java/laurelkeel/decision/Rotation.java
@@ -80,16 +80,15 @@
             return IntStream.range(0, places.length).toArray();
         }
         Integer[] inTurn = IntStream.range(0, places.length).boxed().toArray(Integer[]::new);
-        Arrays.sort(inTurn, Comparator.comparingDouble(i -> fromStart(places[i]) * (asked[i] ? STAYS : 1)));
-        IntStream nearOnes = first(each, inTurn, suspect, i -> near[i]);
-        IntStream farOnes = first(each, inTurn, suspect, i -> !near[i]);
+        Arrays.sort(inTurn, Comparator.comparing((Integer i) -> suspect[i])
+                .thenComparingDouble(i -> fromStart(places[i]) * (asked[i] ? STAYS : 1)));
+        IntStream nearOnes = first(each, inTurn, i -> near[i]);
+        IntStream farOnes = first(each, inTurn, i -> !near[i]);
         return IntStream.concat(nearOnes, farOnes).sorted().toArray();
     }
 
-    private static IntStream first(int count, Integer[] inTurn, boolean[] suspect, IntPredicate kind) {
-        IntStream sound = Arrays.stream(inTurn).mapToInt(i -> i).filter(i -> kind.test(i) && !suspect[i]);
-        IntStream others = Arrays.stream(inTurn).mapToInt(i -> i).filter(i -> kind.test(i) && suspect[i]);
-        return IntStream.concat(sound, others).limit(count);
+    private static IntStream first(int count, Integer[] inTurn, IntPredicate kind) {
+        return Arrays.stream(inTurn).mapToInt(i -> i).filter(kind).limit(count);
     }
 
     private double fromStart(double place) {
--- a/src/main/java/laurelkeel/soak/ChangeFeed.java
+++ b/src/main/java/laurelkeel/soak/ChangeFeed.java
@@ -7,27 +7,30 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** Discovery that tells changes: a whole list where it is asked for, and on a watch what has changed since. */
 final class ChangeFeed extends TcpServer {
-    /** An entry that was never listed is a leaving machine's last. */
+    /** Where a machine stands; one that has left is told once and listed no more. */
     enum State { ACTIVE, LEAVING, LEFT }
 
     /** One machine of the list, in discovery's form. */
     record Entry(String id, String address, State state, long startedMs, int build) {
         String json() {
             return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,\"state\":\""
-                    + state.name().toLowerCase(java.util.Locale.ROOT) + "\",\"weight\":1.0,\"started_ms\":" + startedMs
+                    + state.name().toLowerCase(Locale.ROOT) + "\",\"weight\":1.0,\"started_ms\":" + startedMs
                     + ",\"revision_no\":" + build + "}";
         }
     }
 
+    private static final int FIRST_VERSION = 1;
+
     private final Map<String, Entry> listed = new LinkedHashMap<>();
     private final TreeMap<Integer, List<Entry>> changes = new TreeMap<>();
     private final List<Socket> watches = new ArrayList<>();
-    private int version = 1;
+    private int version = FIRST_VERSION;
     private long bytes;
     private int wholeLists;
 
@@ -87,7 +90,7 @@
 
     private boolean tell(Socket watch, String text) {
         try {
-            write(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            writeChunk(watch, text);
             bytes += text.length();
             return true;
         } catch (IOException e) {
@@ -98,14 +101,12 @@
     @Override
     void serve(Socket socket, InputStream in) throws IOException {
         String first = line(in);
-        for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
-            // nothing of the head matters
-        }
+        headers(in);
         if (first == null) {
             return;
         }
         if (first.contains("watch=1")) {
-            write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            write(socket, CHUNKED);
             watch(socket, first);
             in.read();
         } else {
@@ -122,7 +123,7 @@
 
     private synchronized void watch(Socket socket, String request) {
         int after = after(request);
-        if (after < 0 || after > version || !changes.isEmpty() && after < changes.firstKey() - 1) {
+        if (after < FIRST_VERSION || after > version) {
             wholeLists++;
             tell(socket, whole() + "\n");
         } else if (after < version) {
--- a/src/main/java/laurelkeel/soak/DiscoveryServer.java
+++ b/src/main/java/laurelkeel/soak/DiscoveryServer.java
@@ -50,7 +50,7 @@
         private void say(Socket watch, String text) {
             try {
                 synchronized (watch) {
-                    write(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+                    writeChunk(watch, text);
                 }
             } catch (IOException e) {
                 watches.remove(watch);
@@ -79,11 +79,10 @@
 
     @Override
     void serve(Socket socket, InputStream in) throws IOException {
-        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
-            // the head of the watch's request
-        }
+        // the head of the watch's request
+        headers(in);
         if (!silent) {
-            write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            write(socket, CHUNKED);
             directory.add(socket);
         }
         in.read();
--- a/src/main/java/laurelkeel/soak/ScaleBench.java
+++ b/src/main/java/laurelkeel/soak/ScaleBench.java
@@ -31,6 +31,8 @@
     private static final int MEMORY_MB = 160;
     private static final int DESCRIPTORS = 1_024;
     private static final int CLIENTS = 24;
+    /** Requests that a machine of the usual size serves at a time. */
+    private static final int USUAL_PLACES = 16;
     private static final int READY_MS = 10_000;
     /** Machines are replaced in steps, and one that leaves is gone so many steps later. */
     private static final int STEP_MS = 500, STEPS_TO_GO = 2;
@@ -100,7 +102,7 @@
     private final int seconds;
     private final long seed;
     private final Path folder;
-    private final AtomicInteger nextMachine = new AtomicInteger();
+    private int nextMachine;
 
     private ScaleBench(Profile profile, int scale, int seconds, long seed, Path folder) {
         this.profile = profile;
@@ -127,7 +129,7 @@
 
     private Figures play(NodeImage image) throws IOException, InterruptedException {
         int machines = profile.machines * scale;
-        int places = Math.max(1, 16 / scale);
+        int places = Math.max(1, USUAL_PLACES / scale);
         List<ChangeFeed.Entry> entries = new ArrayList<>();
         Violations violations = new Violations();
         try (MachineFleet fleet = new MachineFleet(2 * machines, places, seed)) {
@@ -144,7 +146,7 @@
     }
 
     private ChangeFeed.Entry entry(MachineFleet fleet, int build, long startedMs) {
-        int number = nextMachine.getAndIncrement();
+        int number = nextMachine++;
         return new ChangeFeed.Entry("s-" + number, fleet.addressOf(number), ChangeFeed.State.ACTIVE, startedMs, build);
     }
 
--- a/src/main/java/laurelkeel/soak/ScaleLoad.java
+++ b/src/main/java/laurelkeel/soak/ScaleLoad.java
@@ -7,7 +7,6 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -107,10 +106,7 @@
         private String request() {
             String id = name + "-" + number++;
             boolean safe = random.nextBoolean();
-            return (safe ? "GET /look/" : "POST /pay/") + id + " HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id
-                    + "\r\nX-Account: acme\r\nX-Session-Key: k" + random.nextInt(KEYS) + "\r\nX-Time-Left: "
-                    + String.format(Locale.ROOT, "%.3f", SECONDS_LEFT) + "\r\n"
-                    + (safe ? "" : "Idempotency-Key: m-" + id + "\r\nContent-Length: 4\r\n") + "\r\n" + (safe ? "" : "body");
+            return SoakClient.request(id, safe, "k" + random.nextInt(KEYS), SECONDS_LEFT, safe ? "" : "body");
         }
 
         private void readAnswer() throws IOException {
--- a/src/main/java/laurelkeel/soak/Soak.java
+++ b/src/main/java/laurelkeel/soak/Soak.java
@@ -418,11 +418,10 @@
     private void publish() {
         StringBuilder entries = new StringBuilder();
         for (Backend server : servers) {
-            entries.append(entries.isEmpty() ? "" : ",").append("{\"id\":\"").append(server.id).append("\",\"addr\":\"")
-                    .append(server.address()).append("\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,\"state\":\"")
-                    .append(draining.contains(server.id) ? "leaving" : "active")
-                    .append("\",\"weight\":1.0,\"started_ms\":0,\"revision_no\":")
-                    .append(ControlServer.TRIAL_BUILD - 1 + servers.indexOf(server) % 2).append('}');
+            ChangeFeed.State state = draining.contains(server.id) ? ChangeFeed.State.LEAVING : ChangeFeed.State.ACTIVE;
+            int build = ControlServer.TRIAL_BUILD - 1 + servers.indexOf(server) % 2;
+            entries.append(entries.isEmpty() ? "" : ",")
+                    .append(new ChangeFeed.Entry(server.id, server.address(), state, 0, build).json());
         }
         directory.publish(entries.toString());
     }
--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -176,8 +176,13 @@
     private String request(String id, double within) {
         boolean safe = random.nextBoolean();
         String body = safe ? "" : "b".repeat(random.nextInt(500));
+        return request(id, safe, "k" + random.nextInt(100), within, body);
+    }
+
+    /** One that is safe to repeat, without a body, or one that its mark makes so. */
+    static String request(String id, boolean safe, String key, double within, String body) {
         return (safe ? "GET /look/" : "POST /pay/") + id + " HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id
-                + "\r\nX-Account: acme\r\nX-Session-Key: k" + random.nextInt(100) + "\r\nX-Time-Left: "
+                + "\r\nX-Account: acme\r\nX-Session-Key: " + key + "\r\nX-Time-Left: "
                 + String.format(Locale.ROOT, "%.3f", within) + "\r\n"
                 + (safe ? "" : "Idempotency-Key: m-" + id + "\r\nContent-Length: " + body.length() + "\r\n") + "\r\n" + body;
     }
--- a/src/main/java/laurelkeel/soak/TcpServer.java
+++ b/src/main/java/laurelkeel/soak/TcpServer.java
@@ -17,6 +17,9 @@
 
 /** A listener on loopback with a thread a connection, for stand-ins that misbehave at will. */
 abstract class TcpServer implements AutoCloseable {
+    /** The head of an answer that goes on in chunks. */
+    static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     private static final int BACKLOG = 500;
     private static final int LONGEST_LINE = 16 << 10;
     private static final AtomicInteger ADDRESSES = new AtomicInteger();
@@ -145,6 +148,11 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** A part of an answer that is chunked. */
+    static void writeChunk(Socket socket, String text) throws IOException {
+        write(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
     /** Ends a connection with a reset in place of an orderly end. */
     static void reset(Socket socket) throws IOException {
         socket.setSoLinger(true, 0);
