Unreadable responses and bytes behind a response are logged

A response whose length is too short was passed on in part, and nothing in the log or the metrics told such a response from one that is followed by a second copy or by noise; an unreadable response left no line either.

Done: a line for each response that is followed by more bytes, with the length of its body, the number of bytes behind it and whether they repeat its version and status (`SurplusInput`), and a line with the reason for each unreadable response. Neither holds bytes of a body. What is passed on is as before.

--- a/src/main/java/laurelkeel/front/upstream/EndpointIoHandler.java
+++ b/src/main/java/laurelkeel/front/upstream/EndpointIoHandler.java
@@ -40,6 +40,7 @@
             }
             loop.post(() -> responseReceived(session, response));
         } else if (message instanceof HttpProtocolException failure) {
+            LOG.info("{}: unreadable response: {}", session.getRemoteAddress(), failure.getMessage());
             loop.post(() -> responseUnreadable(session, failure));
         }
     }
--- a/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
+++ b/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
@@ -7,6 +7,8 @@
 import org.apache.mina.filter.codec.ProtocolDecoder;
 import org.apache.mina.filter.codec.ProtocolDecoderOutput;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Decodes the input of one connection for the filter of {@link HttpCodec}.
@@ -14,6 +16,7 @@
  * <p>Not thread-safe; called on the connection's I/O thread, except for {@link #partialSinceNanos}.
  */
 final class HttpMessageDecoder implements ProtocolDecoder {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpMessageDecoder.class);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final HttpParser parser;
@@ -77,7 +80,8 @@
             if (message != null) {
                 partialSinceNanos = 0;
                 responseExpected = false;
-                if (oneRequestAtATime && bytes.hasRemaining() && message instanceof HttpResponse) {
+                if (oneRequestAtATime && bytes.hasRemaining() && message instanceof HttpResponse response) {
+                    logSurplus(session, response, bytes);
                     // surplus input could be mistaken for the next response, so the connection is not reused
                     message.headers().add("Connection", "close");
                     skipsInput = true;
@@ -90,6 +94,15 @@
         return wasInBody;
     }
 
+    private static void logSurplus(IoSession session, HttpResponse response, ByteBuffer surplus) {
+        LOG.info(
+                "{}: a response with a body of {} bytes is followed by {} more bytes, {}",
+                session.getRemoteAddress(),
+                response.body().length,
+                surplus.remaining(),
+                SurplusInput.isCopyOf(response, surplus) ? "a copy of it" : "which are no copy of it");
+    }
+
     private void requireExpectedResponse(IoSession session) throws HttpProtocolException {
         if (oneRequestAtATime && !responseExpected) {
             responseExpected = HttpCodec.takeExpectedResponse(session);
