A response that goes on behind its stated end is not served in part

Cause: `HttpMessageDecoder` dropped the bytes behind a response, closed the connection and passed the response on as good. Beside it, the end of a full read buffer was taken for the end of what has arrived.

Change: bytes behind a response make it unreadable, a failed attempt that may have run, unless they repeat its HTTP version and status: that is a second copy, and the response is served as before. Where a response ends near the end of a full buffer, the decoder looks at what has arrived behind it. HEAD, 204 and 304 end with their head and are served as before.

Why it works: the stated end is used only if nothing that has arrived contradicts it.

--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -129,7 +129,7 @@
         // MINA calls this on every read; the decoder keeps the state of a partially read message between reads
         HttpMessageDecoder decoder = decoder(session);
         if (decoder == null) {
-            decoder = new HttpMessageDecoder(new HttpParser(kind, limits, bodyBudget), oneRequestAtATime);
+            decoder = new HttpMessageDecoder(new HttpParser(kind, limits, bodyBudget), bodyBudget, oneRequestAtATime);
             session.setAttribute(DECODER, decoder);
         }
         return decoder;
--- a/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
+++ b/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
@@ -1,5 +1,6 @@
 package laurelkeel.wire;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -20,6 +21,7 @@
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final HttpParser parser;
+    private final ByteBudget bodyBudget;
     private final boolean oneRequestAtATime;
     /** Whether all further input is skipped, because it was invalid or exceeded the expected response. */
     private boolean skipsInput;
@@ -27,8 +29,10 @@
     private boolean responseExpected;
     private volatile long partialSinceNanos;
 
-    HttpMessageDecoder(HttpParser parser, boolean oneRequestAtATime) {
+    /** @param bodyBudget budget from which the parser reserves the bodies of its messages */
+    HttpMessageDecoder(HttpParser parser, ByteBudget bodyBudget, boolean oneRequestAtATime) {
         this.parser = parser;
+        this.bodyBudget = bodyBudget;
         this.oneRequestAtATime = oneRequestAtATime;
     }
 
@@ -54,7 +58,8 @@
             parser.expectHeadResponse();
         }
         try {
-            boolean wasInBody = readMessages(session, bytes, out);
+            boolean isFullBuffer = in.limit() == in.capacity();
+            boolean wasInBody = readMessages(session, bytes, isFullBuffer, out);
             if (partialSinceNanos == 0 && !parser.isIdle()) {
                 // the lowest bit is set because 0 means that there is none
                 partialSinceNanos = System.nanoTime() | 1;
@@ -70,8 +75,13 @@
         }
     }
 
-    /** Reads messages; returns whether the message that is now partially read was already in its body before these bytes. */
-    private boolean readMessages(IoSession session, ByteBuffer bytes, ProtocolDecoderOutput out)
+    /**
+     * Reads messages.
+     *
+     * @param isFullBuffer whether more input may have arrived than was read
+     * @return whether the message that is now partially read was already in its body before these bytes
+     */
+    private boolean readMessages(IoSession session, ByteBuffer bytes, boolean isFullBuffer, ProtocolDecoderOutput out)
             throws HttpProtocolException {
         boolean wasInBody = parser.inBody();
         while (bytes.hasRemaining()) {
@@ -80,12 +90,8 @@
             if (message != null) {
                 partialSinceNanos = 0;
                 responseExpected = false;
-                if (oneRequestAtATime && bytes.hasRemaining() && message instanceof HttpResponse response) {
-                    logSurplus(session, response, bytes);
-                    // surplus input could be mistaken for the next response, so the connection is not reused
-                    message.headers().add("Connection", "close");
-                    skipsInput = true;
-                    skip(bytes);
+                if (oneRequestAtATime && message instanceof HttpResponse response) {
+                    handleSurplus(session, response, bytes, isFullBuffer);
                 }
                 out.write(message);
                 wasInBody = false;
@@ -94,13 +100,55 @@
         return wasInBody;
     }
 
-    private static void logSurplus(IoSession session, HttpResponse response, ByteBuffer surplus) {
+    /**
+     * Marks a response as the last one of its connection if there is surplus input behind it, which could be mistaken for the
+     * next response.
+     *
+     * @param rest the rest of the read buffer, which is skipped
+     * @throws HttpProtocolException if the surplus input casts doubt on the end of the response: a length that is too short
+     *     leaves the rest of the body there
+     */
+    private void handleSurplus(IoSession session, HttpResponse response, ByteBuffer rest, boolean isFullBuffer)
+            throws HttpProtocolException {
+        ByteBuffer surplus = isFullBuffer ? withReadAhead(session, rest) : rest;
+        if (!surplus.hasRemaining()) {
+            return;
+        }
+        int bodyBytes = response.body().length;
+        boolean copy = SurplusInput.isCopyOf(response, surplus);
         LOG.info(
-                "{}: a response with a body of {} bytes is followed by {} more bytes, {}",
+                "{}: a response with a body of {} bytes is followed by more bytes, {}",
                 session.getRemoteAddress(),
-                response.body().length,
-                surplus.remaining(),
-                SurplusInput.isCopyOf(response, surplus) ? "a copy of it" : "which are no copy of it");
+                bodyBytes,
+                copy ? "a copy of it" : "which are no copy of it");
+        if (!copy && !response.endsWithItsHead()) {
+            bodyBudget.release(bodyBytes);
+            throw new HttpProtocolException(502, "more bytes follow the end that the response states");
+        }
+        response.headers().add("Connection", "close");
+        skipsInput = true;
+        skip(rest);
+    }
+
+    /**
+     * Returns the rest of a full buffer and the beginning of the input behind it, which would otherwise be read only after the
+     * response has been passed on.
+     */
+    private static ByteBuffer withReadAhead(IoSession session, ByteBuffer rest) {
+        SocketInput input = SocketInput.of(session);
+        if (input == null) {
+            return rest;
+        }
+        try {
+            ByteBuffer ahead = input.read();
+            return ByteBuffer.allocate(rest.remaining() + ahead.remaining())
+                    .put(rest.duplicate())
+                    .put(ahead)
+                    .flip();
+        } catch (IOException e) {
+            // the connection has failed behind a complete response, which the I/O thread's next read reports too
+            return rest;
+        }
     }
 
     private void requireExpectedResponse(IoSession session) throws HttpProtocolException {
--- a/src/main/java/laurelkeel/wire/HttpParser.java
+++ b/src/main/java/laurelkeel/wire/HttpParser.java
@@ -249,8 +249,7 @@
     }
 
     private boolean hasNoBody() {
-        return kind == MessageKind.RESPONSE
-                && (expectsHeadResponse || startLine.status() == 204 || startLine.status() == 304);
+        return kind == MessageKind.RESPONSE && (expectsHeadResponse || HttpResponse.excludesBody(startLine.status()));
     }
 
     private @Nullable HttpMessage beginBody(MessageFraming.BodyEnd bodyEnd) throws HttpProtocolException {
--- a/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
+++ b/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
@@ -1,6 +1,7 @@
 package laurelkeel.wire;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -11,8 +12,12 @@
  * {@link HttpCodec#announceRequest}. On a slow core, the I/O thread may not yet have read input that arrived long ago. Without
  * the check, a late surplus response could be mistaken for the response to the new request, and a request could be lost on a
  * connection that the peer has already closed.
+ *
+ * <p>It provides a {@link SocketInput} for each session, so that a decoder can look behind the end of a full read buffer.
  */
 public final class UnexpectedInputProcessor extends NioProcessor {
+    private static final int READ_AHEAD_BYTES = 64;
+
     private final IoBuffer probe = IoBuffer.allocate(1);
 
     /** Creates a processor; called by MINA through reflection. */
@@ -20,6 +25,19 @@
         super(threads);
     }
 
+    @Override
+    protected void init(NioSession session) throws Exception {
+        super.init(session);
+        SocketInput input = () -> readAhead(session);
+        session.setAttribute(SocketInput.ATTRIBUTE, input);
+    }
+
+    private ByteBuffer readAhead(NioSession session) throws IOException {
+        IoBuffer bytes = IoBuffer.allocate(READ_AHEAD_BYTES);
+        readInto(session, bytes);
+        return bytes.flip().buf();
+    }
+
     @Override
     protected int write(NioSession session, IoBuffer bytes, int length) throws IOException {
         if (HttpCodec.takeAnnouncedRequest(session)) {
@@ -35,8 +53,12 @@
     /** Reads at most one byte; returns 0 if there is no input, 1 if there is, and -1 if the peer has closed its output. */
     private int readByte(NioSession session) throws IOException {
         probe.clear();
+        return readInto(session, probe);
+    }
+
+    private int readInto(NioSession session, IoBuffer buffer) throws IOException {
         try {
-            return read(session, probe);
+            return read(session, buffer);
         } catch (IOException e) {
             throw e;
         } catch (Exception e) {
--- a/src/test/java/laurelkeel/front/MisbehavingPeersTest.java
+++ b/src/test/java/laurelkeel/front/MisbehavingPeersTest.java
@@ -230,6 +230,22 @@
         }
     }
 
+    /** Guards against a part of a body being served because its response states a length that is too short. */
+    @Test
+    void aResponseLongerThanItsLengthIsNotServedInPart() throws Exception {
+        try (FrontTestPeers peers = new FrontTestPeers(directory, "", FrontTestPeers::sendOnce)) {
+            Socket client = peers.connectClient();
+            FrontTestPeers.send(client, FrontTestPeers.lookRequest(""));
+            Socket endpoint = peers.nextEndpointConnection();
+            FrontTestPeers.receive(endpoint);
+            FrontTestPeers.send(endpoint, OK + "-whole");
+            assertTrue(FrontTestPeers.receive(client).startsWith("HTTP/1.1 502"));
+            assertEquals(
+                    AttemptOutcome.FAILED,
+                    peers.firstEvent(Event.AttemptEnded.class).outcome());
+        }
+    }
+
     @Test
     void anErrorOnASocketThreadEndsTheLoop() throws Exception {
         Error error = new StackOverflowError("thrown by the test");
--- a/src/test/java/laurelkeel/front/upstream/ConnectionPoolsTest.java
+++ b/src/test/java/laurelkeel/front/upstream/ConnectionPoolsTest.java
@@ -8,21 +8,17 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import laurelkeel.api.Event.AttemptOutcome;
-import laurelkeel.api.LoadReport;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.eventloop.LoopThreads;
 import laurelkeel.front.FrontTestPeers;
 import laurelkeel.front.NodeRuntime;
-import laurelkeel.wire.ForwardedMessage;
 import laurelkeel.wire.HttpLimits;
-import laurelkeel.wire.HttpResponse;
 import laurelkeel.wire.UnexpectedInputProcessor;
 import org.apache.mina.core.filterchain.IoFilterAdapter;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
@@ -32,29 +28,13 @@
 
 /** Checks races in which an exchange could read the response to another, or be sent on a connection that has closed. */
 class ConnectionPoolsTest {
-    private static final EndpointProtocol PROTOCOL = new EndpointProtocol() {
-        @Override
-        public EndpointResponse parseResponse(HttpResponse response) {
-            return new EndpointResponse(
-                    AttemptOutcome.COMPLETED,
-                    ForwardedMessage.of(response, List.of()),
-                    LoadReport.NONE,
-                    response.closesConnection());
-        }
-
-        @Override
-        public AttemptOutcome unreadableOutcome() {
-            return AttemptOutcome.CONNECTION_LOST;
-        }
-    };
-
     private final EventLoop loop = new EventLoop(NodeRuntime.monotonicClock());
     private final ExecutorService threads = LoopThreads.cachedPool(loop, "test-sockets");
     /** The connect timeout is far longer than a test, so that it never ends an exchange here. */
     private final ConnectionPools pools = new ConnectionPools(
             new UpstreamSettings(
                     new HttpLimits(1024, 8192, 64, 1024), 8, 8, 8, 600_000, 600_000, 1, "/load", 2_500, 100),
-            PROTOCOL,
+            new CompletedOrLost(),
             loop,
             threads,
             new SimpleIoProcessorPool<>(UnexpectedInputProcessor.class, threads, 1, null));
--- a/src/test/java/laurelkeel/platform/PlatformProtocolTest.java
+++ b/src/test/java/laurelkeel/platform/PlatformProtocolTest.java
@@ -150,22 +150,42 @@
 
     /** Guards against two responses that are read together being used for two requests. */
     @Test
-    void surplusBytesAfterAResponseAreNeverUsedForTheNextRequest() throws Exception {
-        for (String surplus : List.of(okResponse("first"), "noise", "HTTP/1.1 200")) {
-            try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
-                Socket client = testBed.connectClient();
-                send(client, getRequest("1", ""));
-                Socket endpointConnection = testBed.endpoint.nextConnection();
-                receive(endpointConnection);
-                send(endpointConnection, okResponse("first") + surplus);
-                assertTrue(receive(client).endsWith("first"));
-                send(client, getRequest("2", ""));
-                Socket other = testBed.endpoint.nextConnection();
-                receive(other);
-                send(other, okResponse("second"));
-                assertTrue(receive(client).endsWith("second"), surplus);
-                assertTrue(receive(endpointConnection).contains("<end>"));
-            }
+    void aSecondCopyOfAResponseIsNeverUsedForTheNextRequest() throws Exception {
+        for (String copy : List.of(okResponse("first"), "HTTP/1.1 200", "HTTP/1.1")) {
+            assertNextRequestUsesOtherConnection(okResponse("first") + copy, true);
+        }
+    }
+
+    /** Guards against a part of a body being served because its response states a length that is too short. */
+    @Test
+    void aResponseThatGoesOnBehindItsEndIsNeitherServedNorUsedForTheNextRequest() throws Exception {
+        for (String surplus :
+                List.of("-whole", "noise", "\r\n", "HTTP", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")) {
+            assertNextRequestUsesOtherConnection(okResponse("first") + surplus, false);
+        }
+    }
+
+    /** Checks the answer to a request whose response is followed by surplus bytes, and that they are never used. */
+    private static void assertNextRequestUsesOtherConnection(String response, boolean served) throws Exception {
+        try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
+            Socket client = testBed.connectClient();
+            send(client, getRequest("1", ""));
+            Socket endpointConnection = testBed.endpoint.nextConnection();
+            receive(endpointConnection);
+            send(endpointConnection, response);
+            String answer = receive(client);
+            assertTrue(answer.startsWith(served ? "HTTP/1.1 200 " : "HTTP/1.1 502 "), response + " got " + answer);
+            assertEquals(served, answer.contains("first"), response + " got " + answer);
+            assertEquals(
+                    served ? AttemptOutcome.COMPLETED : AttemptOutcome.CONNECTION_LOST,
+                    testBed.awaitEvent(Event.AttemptEnded.class, 1).outcome(),
+                    response);
+            send(client, getRequest("2", ""));
+            Socket other = testBed.endpoint.nextConnection();
+            receive(other);
+            send(other, okResponse("second"));
+            assertTrue(receive(client).endsWith("second"), response);
+            assertTrue(receive(endpointConnection).contains("<end>"));
         }
     }
 
