Connections to a service that are given up, and those that take over, are logged

The log said nothing of connections that the node itself gave up, so a service that is down, one that never answers and one that answers late looked alike.

Done: a line for each connection that is given up and each that takes over: how long ago it was opened, whether it was established and how many bytes it has received.

--- a/src/main/java/laurelkeel/platform/ReconnectingStream.java
+++ b/src/main/java/laurelkeel/platform/ReconnectingStream.java
@@ -100,6 +100,7 @@
         long nowTicks = loop.nowTicks();
         loop.schedule(nowTicks + CHECK_INTERVAL_TICKS, this::check);
         if (candidate != null && candidate.hasFailed(nowTicks)) {
+            LOG.info("{}: giving up a connection: {}", protocol.serviceName(), candidate.describe(nowTicks));
             closeCandidate();
             retryAtTicks = nowTicks + nextBackoffTicks();
         }
@@ -114,6 +115,7 @@
     }
 
     private void takeOver(StreamConnection next) {
+        LOG.info("{}: first message on a connection: {}", protocol.serviceName(), next.describe(loop.nowTicks()));
         if (current != null) {
             current.close();
         }
@@ -150,6 +152,8 @@
         /** Includes bytes that are only part of a message. */
         private long lastBytesAtTicks = openedAtTicks;
 
+        private long receivedBytes;
+
         private final ServiceConnection connection = connector.open(address, protocol.openingRequest(), this);
 
         void close() {
@@ -170,8 +174,16 @@
                     || nowTicks > openedAtTicks + protocol.silenceTimeoutTicks();
         }
 
+        /** Describes how far the connection has come, for log output. */
+        String describe(long nowTicks) {
+            return "opened " + (nowTicks - openedAtTicks) / Ticks.PER_MILLISECOND + " ms ago, "
+                    + (connection.isOpen() ? "established, " : "not established, ") + receivedBytes
+                    + " bytes received";
+        }
+
         @Override
         public void onBytes(byte[] bytes, long arrivedAtTicks) {
+            receivedBytes += bytes.length;
             lastBytesAtTicks = loop.nowTicks();
             try {
                 if (reader.read(bytes, arrivedAtTicks)) {
