A new connection to a service is not given up because the service is slow

Cause: `ReconnectingStream` had room for one new connection and closed it 0.7 s after its opening if it had brought no byte, to try another. The bound held for each new connection, counted from the start of the dial; `ServiceConnector` had a second one, 1 s for the dial, whatever its user would wait.

Change: a connection that has received nothing stays while others are opened beside it, at the rate of before, and the first to receive a message replaces all others. At most six are pending: the two oldest wait for up to 30 s, of the others the oldest makes room. The time to establish a connection is its user's; closing it before that cancels the dial.

Why it works: slow and dead can't be told apart, so a second try no longer costs the first. The old connections reach a slow service, the new ones a service that has lost what it was asked.

--- a/src/main/java/laurelkeel/front/upstream/ConnectAttempt.java
+++ b/src/main/java/laurelkeel/front/upstream/ConnectAttempt.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.nio.channels.Channel;
 import java.util.function.Consumer;
+import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.polling.AbstractPollingIoConnector;
@@ -18,7 +19,7 @@
  * own connect timeout by the wall clock: a step forward would expire all pending connects immediately, and a step back would
  * delay their timeouts.
  *
- * <p>A timed-out connect is not cancelled through MINA's future. If the connect completes at the same moment, MINA 2.2.5
+ * <p>A connect that timed out or is no longer needed is not cancelled through MINA's future. If the connect completes at the same moment, MINA 2.2.5
  * counts the removal of its socket twice, concludes that no sockets are left and stops polling the others.
  *
  * <p>Not thread-safe; called on the event loop's thread.
@@ -30,6 +31,7 @@
      */
     public static final long MINA_TIMEOUT_MS = 7L * 24 * 3600 * 1000;
 
+    private static final long CANCEL_GRACE_TICKS = Ticks.PER_SECOND;
     private static final AttributeKey ATTEMPT = new AttributeKey(ConnectAttempt.class, "attempt");
 
     /** Receives the result exactly once, on the event loop's thread but never from within {@link ConnectAttempt#start}. */
@@ -45,7 +47,7 @@
     }
 
     private final Listener listener;
-    private volatile boolean timedOut;
+    private volatile boolean abandoned;
 
     private ConnectAttempt(Listener listener) {
         this.listener = listener;
@@ -58,9 +60,10 @@
      * @param post posts the result to {@code loop}, as an ordinary or a priority task
      * @param timeoutTicks the maximum time for the connection to open
      * @param prepare initializes the new session; called before anything is read from it
+     * @return cancels the attempt, whose listener is not called then; has no effect after the attempt has ended
      * @throws RuntimeException if the connect could not be started; the listener is not called in this case
      */
-    public static void start(
+    public static Runnable start(
             NioSocketConnector connector,
             EventLoop loop,
             Consumer<Runnable> post,
@@ -79,10 +82,25 @@
             timeout.cancel();
             attempt.completed(future);
         }));
+        return () -> {
+            timeout.cancel();
+            attempt.cancel(future, loop);
+        };
+    }
+
+    /**
+     * Closes the connection if it is open or opens soon, and only otherwise its socket: MINA keeps a session for ever whose
+     * socket is closed just as the connect completes.
+     */
+    private void cancel(ConnectFuture future, EventLoop loop) {
+        abandoned = true;
+        if (!closeIfConnected(future)) {
+            loop.schedule(loop.nowTicks() + CANCEL_GRACE_TICKS, () -> abandon(future));
+        }
     }
 
     private void completed(ConnectFuture future) {
-        if (timedOut) {
+        if (abandoned) {
             closeIfConnected(future);
         } else if (future.isConnected()) {
             listener.connected(future.getSession());
@@ -92,11 +110,15 @@
     }
 
     private void timeOut(ConnectFuture future) {
-        timedOut = true;
+        abandon(future);
+        listener.timedOut();
+    }
+
+    private void abandon(ConnectFuture future) {
+        abandoned = true;
         if (!closeIfConnected(future)) {
             closeSocket(future);
         }
-        listener.timedOut();
     }
 
     private static boolean closeIfConnected(ConnectFuture future) {
@@ -113,17 +135,17 @@
             try {
                 socket.close();
             } catch (IOException ignored) {
-                // the attempt has timed out, so that a failed close changes nothing
+                // nothing waits for the attempt any more, so that a failed close changes nothing
             }
         }
     }
 
     /** Base class of the I/O handlers for connections that are opened by a {@link ConnectAttempt}. */
     public abstract static class Handler extends IoHandlerAdapter {
-        /** Closes a connection that opened just as its attempt timed out, since nothing will use it. */
+        /** Closes a connection that opened just as its attempt timed out or was cancelled, since nothing will use it. */
         @Override
         public final void sessionOpened(IoSession session) {
-            if (session.getAttribute(ATTEMPT) instanceof ConnectAttempt attempt && attempt.timedOut) {
+            if (session.getAttribute(ATTEMPT) instanceof ConnectAttempt attempt && attempt.abandoned) {
                 session.closeNow();
             }
         }
--- a/src/main/java/laurelkeel/platform/ReconnectingStream.java
+++ b/src/main/java/laurelkeel/platform/ReconnectingStream.java
@@ -1,6 +1,9 @@
 package laurelkeel.platform;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
 import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.front.controlplane.ReconnectBackoff;
@@ -12,16 +15,28 @@
  * Maintains one connection to a service that pushes messages.
  *
  * <p>A connection that ends is replaced, with an increasing backoff as long as new connections receive nothing. If the
- * current connection is silent or the service moves, a candidate connection is opened in parallel and replaces the
- * current one with its first message, so that no message is missed in between.
+ * current connection is silent or the service moves, new connections are opened beside it, and the first of them to
+ * receive a message replaces it, so that no message is missed in between.
+ *
+ * <p>A new connection that receives nothing may lead to a service that is slow, or nowhere, which cannot be told apart.
+ * So it is kept while further ones are opened beside it. The number of pending connections is limited: the oldest ones
+ * are kept, since only they reach a service that is very slow, and the others make room for new ones, since only a new
+ * one reaches a service that lost the requests of the earlier ones.
  *
  * <p>Has the same lifecycle as {@link ServiceClient}. Not thread-safe; called on the event loop's thread.
  */
 final class ReconnectingStream {
     private static final Logger LOG = LoggerFactory.getLogger(ReconnectingStream.class);
     private static final long CHECK_INTERVAL_TICKS = 100 * Ticks.PER_MILLISECOND;
-    /** A service that is up responds immediately. */
-    private static final long CANDIDATE_IDLE_TIMEOUT_TICKS = 700 * Ticks.PER_MILLISECOND;
+    /** If no pending connection has received bytes for this time, another one is opened. */
+    private static final long STALLED_AFTER_TICKS = 700 * Ticks.PER_MILLISECOND;
+
+    /** The longest wait of a pending connection for its first message. */
+    private static final long MAX_PENDING_TICKS = 30 * Ticks.PER_SECOND;
+
+    private static final int MAX_PENDING_CONNECTIONS = 6;
+    /** Number of the oldest pending connections that do not make room for new ones. */
+    private static final int KEPT_PENDING_CONNECTIONS = 2;
 
     private static final long MIN_BACKOFF_MILLIS = 100;
     /** Well below the number of seconds after which the platform treats its updates as known. */
@@ -34,10 +49,12 @@
     private InetSocketAddress address;
     /** The connection that has received messages; null if there is none. */
     private @Nullable StreamConnection current;
-    /** The connection that is to replace the current one; null if there is none. */
-    private @Nullable StreamConnection candidate;
+    /** The connections of which the first one to receive a message replaces the current one, oldest first. */
+    private final List<StreamConnection> pending = new ArrayList<>();
+
+    /** When the next connection is opened if one is needed and no pending one makes progress; empty if not decided yet. */
+    private OptionalLong nextOpenAtTicks = OptionalLong.empty();
 
-    private long retryAtTicks;
     private boolean started;
     private boolean closed;
 
@@ -60,7 +77,7 @@
     void start() {
         if (!started && !closed) {
             started = true;
-            candidate = new StreamConnection();
+            openConnection();
             check();
         }
     }
@@ -72,25 +89,37 @@
         }
         address = newAddress;
         if (started) {
-            closeCandidate();
-            candidate = new StreamConnection();
+            closePending();
+            openConnection();
         }
     }
 
     /** Closes all connections; no further ones are opened. */
     void close() {
         closed = true;
-        closeCandidate();
+        closePending();
         if (current != null) {
             current.close();
         }
     }
 
-    private void closeCandidate() {
-        if (candidate != null) {
-            candidate.close();
-            candidate = null;
+    private void closePending() {
+        pending.forEach(StreamConnection::close);
+        pending.clear();
+    }
+
+    private void openConnection() {
+        nextOpenAtTicks = OptionalLong.empty();
+        if (pending.size() == MAX_PENDING_CONNECTIONS) {
+            giveUp(pending.get(KEPT_PENDING_CONNECTIONS));
         }
+        pending.add(new StreamConnection());
+    }
+
+    private void giveUp(StreamConnection connection) {
+        LOG.info("{}: giving up a connection: {}", protocol.serviceName(), connection.describe(loop.nowTicks()));
+        connection.close();
+        pending.remove(connection);
     }
 
     private void check() {
@@ -99,18 +128,23 @@
         }
         long nowTicks = loop.nowTicks();
         loop.schedule(nowTicks + CHECK_INTERVAL_TICKS, this::check);
-        if (candidate != null && candidate.hasFailed(nowTicks)) {
-            LOG.info("{}: giving up a connection: {}", protocol.serviceName(), candidate.describe(nowTicks));
-            closeCandidate();
-            retryAtTicks = nowTicks + nextBackoffTicks();
+        pending.stream()
+                .filter(connection -> connection.isExpired(nowTicks))
+                .toList()
+                .forEach(this::giveUp);
+        if (!needsConnection(nowTicks) || pending.stream().anyMatch(connection -> !connection.isStalled(nowTicks))) {
+            return;
         }
-        if (candidate == null && needsCandidate(nowTicks) && nowTicks >= retryAtTicks) {
-            candidate = new StreamConnection();
+        if (nextOpenAtTicks.isEmpty() && !pending.isEmpty()) {
+            nextOpenAtTicks = OptionalLong.of(nowTicks + nextBackoffTicks());
+        }
+        if (nowTicks >= nextOpenAtTicks.orElse(nowTicks)) {
+            openConnection();
         }
     }
 
     /** Returns whether the current connection is missing, silent or at an old address of the service. */
-    private boolean needsCandidate(long nowTicks) {
+    private boolean needsConnection(long nowTicks) {
         return current == null || !current.isAt(address) || current.isSilent(nowTicks);
     }
 
@@ -120,22 +154,23 @@
             current.close();
         }
         current = next;
-        candidate = null;
+        pending.remove(next);
+        closePending();
+        nextOpenAtTicks = OptionalLong.empty();
         backoff.reset();
     }
 
     private void onConnectionLost(StreamConnection lost) {
-        boolean wasCurrent = lost == current;
-        if (wasCurrent) {
-            current = null;
-        }
-        if (lost == candidate) {
-            candidate = null;
+        pending.remove(lost);
+        if (lost != current) {
+            nextOpenAtTicks = OptionalLong.of(loop.nowTicks() + nextBackoffTicks());
+            return;
         }
-        // a service whose connection worked is likely to accept a new one immediately; otherwise it is not
-        retryAtTicks = wasCurrent ? loop.nowTicks() : loop.nowTicks() + nextBackoffTicks();
-        if (wasCurrent && candidate == null && !closed) {
-            candidate = new StreamConnection();
+        current = null;
+        // a service whose connection worked is likely to accept a new one immediately
+        nextOpenAtTicks = OptionalLong.of(loop.nowTicks());
+        if (pending.isEmpty() && !closed) {
+            openConnection();
         }
     }
 
@@ -154,7 +189,8 @@
 
         private long receivedBytes;
 
-        private final ServiceConnection connection = connector.open(address, protocol.openingRequest(), this);
+        private final ServiceConnection connection =
+                connector.open(address, MAX_PENDING_TICKS, protocol.openingRequest(), this);
 
         void close() {
             connection.close();
@@ -168,12 +204,17 @@
             return nowTicks > lastMessageAtTicks + protocol.silenceTimeoutTicks();
         }
 
-        /** Returns whether a candidate has failed because it received no bytes or no complete message in time. */
-        boolean hasFailed(long nowTicks) {
-            return nowTicks > lastBytesAtTicks + CANDIDATE_IDLE_TIMEOUT_TICKS
+        /** Returns whether it has received no bytes lately, or no complete message for the time of a silent connection. */
+        boolean isStalled(long nowTicks) {
+            return nowTicks > lastBytesAtTicks + STALLED_AFTER_TICKS
                     || nowTicks > openedAtTicks + protocol.silenceTimeoutTicks();
         }
 
+        /** Returns whether it has waited too long for its first message. */
+        boolean isExpired(long nowTicks) {
+            return nowTicks > openedAtTicks + MAX_PENDING_TICKS;
+        }
+
         /** Describes how far the connection has come, for log output. */
         String describe(long nowTicks) {
             return "opened " + (nowTicks - openedAtTicks) / Ticks.PER_MILLISECOND + " ms ago, "
@@ -188,7 +229,7 @@
             try {
                 if (reader.read(bytes, arrivedAtTicks)) {
                     lastMessageAtTicks = lastBytesAtTicks;
-                    if (candidate == this) {
+                    if (pending.contains(this)) {
                         takeOver(this);
                     }
                 }
--- a/src/main/java/laurelkeel/platform/ServiceConnection.java
+++ b/src/main/java/laurelkeel/platform/ServiceConnection.java
@@ -11,6 +11,9 @@
  */
 final class ServiceConnection {
     private final ConnectionListener listener;
+    /** Cancels the attempt to connect, once that has been started. */
+    private Runnable cancelConnect = () -> {};
+
     private @Nullable IoSession session;
     private boolean closed;
 
@@ -18,6 +21,10 @@
         this.listener = listener;
     }
 
+    void connecting(Runnable cancel) {
+        cancelConnect = cancel;
+    }
+
     /** Returns whether the connection is established and has not ended. */
     boolean isOpen() {
         return session != null && !closed;
@@ -37,6 +44,8 @@
         closed = true;
         if (session != null) {
             session.closeNow();
+        } else {
+            cancelConnect.run();
         }
     }
 
--- a/src/main/java/laurelkeel/platform/ServiceConnector.java
+++ b/src/main/java/laurelkeel/platform/ServiceConnector.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executor;
-import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.front.upstream.ConnectAttempt;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -22,7 +21,6 @@
 final class ServiceConnector {
     private static final Logger LOG = LoggerFactory.getLogger(ServiceConnector.class);
     private static final AttributeKey CONNECTION = new AttributeKey(ServiceConnector.class, "connection");
-    private static final long CONNECT_TIMEOUT_TICKS = Ticks.PER_SECOND;
 
     private final EventLoop loop;
     private final NioSocketConnector connector;
@@ -47,20 +45,22 @@
     /**
      * Opens a connection.
      *
+     * @param connectTimeoutTicks the longest wait for the connection to be established
      * @param initialBytes sent once the connection is established
      * @param listener also notified of every failure to connect, but never from within this call
      */
-    ServiceConnection open(InetSocketAddress address, byte[] initialBytes, ConnectionListener listener) {
+    ServiceConnection open(
+            InetSocketAddress address, long connectTimeoutTicks, byte[] initialBytes, ConnectionListener listener) {
         ServiceConnection connection = new ServiceConnection(listener);
         try {
-            ConnectAttempt.start(
+            connection.connecting(ConnectAttempt.start(
                     connector,
                     loop,
                     loop::postPriority,
-                    CONNECT_TIMEOUT_TICKS,
+                    connectTimeoutTicks,
                     address,
                     session -> session.setAttribute(CONNECTION, connection),
-                    new ConnectListener(address, connection, initialBytes));
+                    new ConnectListener(address, connection, initialBytes)));
         } catch (RuntimeException e) {
             LOG.warn("starting to connect to {} failed: {}", address, e.toString());
             loop.postPriority(() -> connection.onClosed(false));
--- a/src/main/java/laurelkeel/platform/VoteConnection.java
+++ b/src/main/java/laurelkeel/platform/VoteConnection.java
@@ -55,7 +55,7 @@
         this.address = address;
         this.replies = replies;
         voteInFlight = firstVote;
-        connection = connector.open(address, ControlServiceProtocol.encodeVote(firstVote), this);
+        connection = connector.open(address, replyTimeoutTicks, ControlServiceProtocol.encodeVote(firstVote), this);
         replyTimeout = scheduleReplyTimeout();
     }
 
--- a/src/test/java/laurelkeel/platform/PlatformTestBed.java
+++ b/src/test/java/laurelkeel/platform/PlatformTestBed.java
@@ -83,6 +83,18 @@
             return connections.isEmpty();
         }
 
+        /** Returns the number of connections accepted so far. */
+        int acceptedConnections() {
+            return accepted.size();
+        }
+
+        /** Removes and returns the connections that {@link #nextConnection} has not returned yet. */
+        List<Socket> takeConnections() {
+            List<Socket> taken = new ArrayList<>();
+            connections.drainTo(taken);
+            return taken;
+        }
+
         /** Waits for the next connection and returns it. */
         public Socket nextConnection() throws InterruptedException {
             Socket connection = connections.poll(10, TimeUnit.SECONDS);
