A request that goes on behind its stated end is not run with a part of its body

Cause: `HttpMessageDecoder` passed each request on as soon as its stated end had come, whatever stood behind it.

Evidence: PlatformProtocolTest.aRequestThatGoesOnBehindItsEndIsRejectedAndNeverForwarded, red before.

Change: bytes read behind a request with a body, or with a method that may have one, have to begin another request: line ends and then a method of RFC 9110 or PATCH, as far as they go. Otherwise the request is answered with 400 and the connection closes.

Why it works: nothing of the request has been passed on when its end is in doubt.

Measured: PlatformProtocolTest, RequestStartTest, RequestEndTest and FrontNodeTest pass.

--- a/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
+++ b/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
@@ -92,6 +92,8 @@
                 responseExpected = false;
                 if (oneRequestAtATime && message instanceof HttpResponse response) {
                     handleSurplus(session, response, bytes, isFullBuffer);
+                } else if (message instanceof HttpRequest request) {
+                    requireRequestStart(request, bytes);
                 }
                 out.write(message);
                 wasInBody = false;
@@ -100,6 +102,19 @@
         return wasInBody;
     }
 
+    /**
+     * Checks that the input behind a request that has or may have a body, if there is any, may be another request.
+     *
+     * @throws HttpProtocolException if it cannot, which casts doubt on the end of the request: a length that is too short or
+     *     missing leaves the rest of the body there
+     */
+    private void requireRequestStart(HttpRequest request, ByteBuffer rest) throws HttpProtocolException {
+        if (rest.hasRemaining() && HttpWriter.hasContentLength(request) && !RequestStart.isPossible(rest)) {
+            bodyBudget.release(request.body().length);
+            throw new HttpProtocolException(400, "the bytes behind the request are no other request");
+        }
+    }
+
     /**
      * Marks a response as the last one of its connection if there is surplus input behind it, which could be mistaken for the
      * next response.
--- a/src/test/java/laurelkeel/platform/PlatformProtocolTest.java
+++ b/src/test/java/laurelkeel/platform/PlatformProtocolTest.java
@@ -132,6 +132,29 @@
         }
     }
 
+    /** Guards against a request being run with a part of its body because it states a length that is too short. */
+    @Test
+    void aRequestThatGoesOnBehindItsEndIsRejectedAndNeverForwarded() throws Exception {
+        String head = "POST /pay HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: x\r\nX-Account: acme\r\nX-Time-Left: 1\r\n"
+                + "Idempotency-Key: m1\r\n";
+        List<String> requests = List.of(
+                head + "Content-Length: 4\r\n\r\nabcdefgh",
+                head + "Content-Length: 4\r\n\r\nabcd\r\n{}",
+                head + "\r\n{\"amount\":1}",
+                head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n4\r\nefgh\r\n0\r\n\r\n");
+        try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
+            for (String request : requests) {
+                Socket client = testBed.connectClient();
+                send(client, request);
+                String answer = receive(client);
+                assertTrue(answer.startsWith("HTTP/1.1 400 "), request + " got " + answer);
+                assertTrue(receive(client).contains("<end>"));
+            }
+            assertTrue(testBed.eventsOf(Event.RequestReceived.class).isEmpty());
+            assertTrue(testBed.endpoint.connections.isEmpty());
+        }
+    }
+
     @Test
     void aRequestIdThatIsInUseIsRejected() throws Exception {
         try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
