One check for a common start, one test bed for connection pools

Case: on reading the change again, `RequestStart` and `SurplusInput` compared a prefix each in its own way, and ResponseLengthTest had copied the pools, the loop and the exchange of ConnectionPoolsTest. A line of `ConnectAttempt`'s comment was too long.

Done: `HttpSyntax.haveCommonStart` serves both; `ConnectionPoolsTestBed` serves both tests, whose assertions are as they were. Behaviour is unchanged.

--- a/src/main/java/laurelkeel/front/upstream/ConnectAttempt.java
+++ b/src/main/java/laurelkeel/front/upstream/ConnectAttempt.java
@@ -19,8 +19,9 @@
  * own connect timeout by the wall clock: a step forward would expire all pending connects immediately, and a step back would
  * delay their timeouts.
  *
- * <p>A connect that timed out or is no longer needed is not cancelled through MINA's future. If the connect completes at the same moment, MINA 2.2.5
- * counts the removal of its socket twice, concludes that no sockets are left and stops polling the others.
+ * <p>A connect that timed out or is no longer needed is not cancelled through MINA's future. If the connect completes at the
+ * same moment, MINA 2.2.5 counts the removal of its socket twice, concludes that no sockets are left and stops polling the
+ * others.
  *
  * <p>Not thread-safe; called on the event loop's thread.
  */
--- a/src/main/java/laurelkeel/wire/HttpSyntax.java
+++ b/src/main/java/laurelkeel/wire/HttpSyntax.java
@@ -1,5 +1,7 @@
 package laurelkeel.wire;
 
+import java.nio.ByteBuffer;
+
 /** Syntax elements shared by the parts of the parser (RFC 9110, section 5.6, and RFC 9112). */
 final class HttpSyntax {
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
@@ -23,6 +25,17 @@
         return !text.isEmpty();
     }
 
+    /**
+     * Returns whether a text and the remaining bytes agree as far as the shorter of them goes.
+     *
+     * @param text in ASCII
+     * @param bytes its position is not changed
+     */
+    static boolean haveCommonStart(byte[] text, ByteBuffer bytes) {
+        int length = Math.min(text.length, bytes.remaining());
+        return ByteBuffer.wrap(text, 0, length).equals(bytes.slice(bytes.position(), length));
+    }
+
     /** Returns input in a form for error messages: truncated, and with each non-printable character replaced by {@code ?}. */
     static String quote(String text) {
         String cut = text.length() > MAX_QUOTED_CHARS ? text.substring(0, MAX_QUOTED_CHARS) + "..." : text;
--- a/src/main/java/laurelkeel/wire/RequestStart.java
+++ b/src/main/java/laurelkeel/wire/RequestStart.java
@@ -25,15 +25,10 @@
         while (rest.hasRemaining() && isLineEnd(rest.get(rest.position()))) {
             rest.get();
         }
-        return METHODS.stream().anyMatch(method -> haveCommonStart(method, rest));
+        return METHODS.stream().anyMatch(method -> HttpSyntax.haveCommonStart(method, rest));
     }
 
     private static boolean isLineEnd(byte each) {
         return each == '\r' || each == '\n';
     }
-
-    private static boolean haveCommonStart(byte[] method, ByteBuffer bytes) {
-        int length = Math.min(method.length, bytes.remaining());
-        return ByteBuffer.wrap(method, 0, length).equals(bytes.slice(bytes.position(), length));
-    }
 }
--- a/src/main/java/laurelkeel/wire/SurplusInput.java
+++ b/src/main/java/laurelkeel/wire/SurplusInput.java
@@ -18,8 +18,6 @@
     static boolean isCopyOf(HttpResponse response, ByteBuffer surplus) {
         byte[] start =
                 ("HTTP/1." + response.minorVersion() + ' ' + response.status()).getBytes(StandardCharsets.US_ASCII);
-        int length = Math.min(start.length, surplus.remaining());
-        return length >= HTTP_VERSION_BYTES
-                && ByteBuffer.wrap(start, 0, length).equals(surplus.slice(surplus.position(), length));
+        return surplus.remaining() >= HTTP_VERSION_BYTES && HttpSyntax.haveCommonStart(start, surplus);
     }
 }
--- a/src/test/java/laurelkeel/front/upstream/ResponseLengthTest.java
+++ b/src/test/java/laurelkeel/front/upstream/ResponseLengthTest.java
@@ -1,28 +1,19 @@
 package laurelkeel.front.upstream;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import laurelkeel.api.Event.AttemptOutcome;
-import laurelkeel.eventloop.EventLoop;
-import laurelkeel.eventloop.LoopThreads;
 import laurelkeel.front.FrontTestPeers;
-import laurelkeel.front.NodeRuntime;
+import laurelkeel.front.upstream.ConnectionPoolsTestBed.Ended;
 import laurelkeel.wire.HttpLimits;
-import laurelkeel.wire.UnexpectedInputProcessor;
 import org.apache.mina.core.filterchain.IoFilterAdapter;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,45 +24,25 @@
     private static final String INTERIM = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final List<Integer> FIRST_READ_BUFFER_BYTES = List.of(1 << 10, 2 << 10);
 
-    private final EventLoop loop = new EventLoop(NodeRuntime.monotonicClock());
-    private final ExecutorService threads = LoopThreads.cachedPool(loop, "test-sockets");
-    private final ConnectionPools pools = new ConnectionPools(
-            new UpstreamSettings(LIMITS, 8, 8, 8, 600_000, 600_000, 1, "/load", 2_500, 0),
-            new CompletedOrLost(),
-            loop,
-            threads,
-            new SimpleIoProcessorPool<>(UnexpectedInputProcessor.class, threads, 1, null));
-    private final Thread loopThread = new Thread(() -> loop.run(() -> false));
-    private final ServerSocket server;
-    private final EndpointAddress address;
-    /** Blocks the I/O thread once it has read an interim response; null if it is not to be blocked. */
+    private final ConnectionPoolsTestBed testBed = new ConnectionPoolsTestBed(LIMITS, 0);
+    /** Blocks the I/O thread after each read until the endpoint has sent its whole response. */
     private volatile CountDownLatch responseSent = new CountDownLatch(0);
 
     ResponseLengthTest() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(10_000);
-        address = new EndpointAddress("m", new InetSocketAddress(server.getInetAddress(), server.getLocalPort()));
-        pools.connector().getFilterChain().addFirst("block", new IoFilterAdapter() {
+        testBed.pools.connector().getFilterChain().addFirst("block", new IoFilterAdapter() {
             @Override
             public void messageReceived(NextFilter next, IoSession session, Object message) throws Exception {
                 next.messageReceived(session, message);
                 responseSent.await();
             }
         });
-        loopThread.start();
     }
 
     @AfterEach
     void close() throws Exception {
-        loop.stop();
-        loopThread.join();
-        pools.close();
-        server.close();
+        testBed.close();
     }
 
-    /** The outcome of an exchange; the body is null unless a response was read. */
-    private record Ended(AttemptOutcome outcome, String body) {}
-
     private static String withLength(int length, String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body;
     }
@@ -84,17 +55,8 @@
     /** Returns the outcome of an exchange whose response has arrived as a whole before any of it is read. */
     private Ended exchange(String response) throws Exception {
         responseSent = new CountDownLatch(1);
-        CompletableFuture<Ended> ended = new CompletableFuture<>();
-        loop.post(() -> pools.startExchange(
-                address,
-                () -> "GET / HTTP/1.1\r\n\r\n".getBytes(US_ASCII),
-                false,
-                (outcome, received) -> ended.complete(new Ended(
-                        outcome,
-                        received == null
-                                ? null
-                                : new String(received.forwarded().body(), US_ASCII)))));
-        try (Socket connection = server.accept()) {
+        CompletableFuture<Ended> ended = testBed.startExchange();
+        try (Socket connection = testBed.server.accept()) {
             FrontTestPeers.receive(connection);
             FrontTestPeers.send(connection, INTERIM);
             FrontTestPeers.send(connection, response);
