--- a/src/main/java/laurelkeel/cli/BenchCommand.java
+++ b/src/main/java/laurelkeel/cli/BenchCommand.java
@@ -38,7 +38,9 @@
             BenchCommand.BareRelayCommand.class,
             BenchCommand.AttributionBenchCommand.class,
             BenchCommand.PartitionBenchCommand.class,
-            BenchCommand.ScaleBenchCommand.class
+            BenchCommand.ScaleBenchCommand.class,
+            DepartureBenchCommand.class,
+            FloodBenchCommand.class
         })
 @SuppressWarnings("NullAway.Init") // picocli sets the fields
 final class BenchCommand implements Callable<Integer> {
--- /dev/null
+++ b/src/main/java/laurelkeel/soak/DepartureBench.java
@@ -0,0 +1,128 @@
+package laurelkeel.soak;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Plays every way for a client to leave against real nodes, and reports the attempts that endpoints received for requests
+ * whose clients had left. Each case has a node of its own and one client for each {@link ClientBacklog}.
+ */
+public final class DepartureBench {
+    private static final int ENDPOINTS = 12;
+    /** How long a client waits after it began to send until it leaves. */
+    private static final int STAY_MILLIS = 80;
+    /** Longer than the time that any request allows, so that every attempt has begun by the end. */
+    private static final int OBSERVED_MILLIS = 3_000;
+
+    private static final int CLIENT_INTERVAL_MILLIS = 20;
+
+    private final NodeImage image;
+    private final Path folder;
+
+    /** @param folder for the configurations and logs of the nodes */
+    public DepartureBench(NodeImage image, Path folder) {
+        this.image = image;
+        this.folder = folder;
+    }
+
+    /** Plays all cases on one kind of node, and prints the result of each as a table row. */
+    public List<DepartureResult> run(NodeKind node, PrintStream out) throws IOException, InterruptedException {
+        List<DepartureResult> results = new ArrayList<>();
+        for (DepartureCase each : cases(node)) {
+            for (DepartureResult result : run(each)) {
+                out.println(result.row());
+                results.add(result);
+            }
+        }
+        return results;
+    }
+
+    private static List<DepartureCase> cases(NodeKind node) {
+        List<DepartureCase> cases = new ArrayList<>();
+        for (ClientDeparture departure : ClientDeparture.values()) {
+            for (EndpointScript script : EndpointScript.values()) {
+                cases.add(new DepartureCase(node, script, "", departure));
+            }
+            cases.add(new DepartureCase(node, EndpointScript.RESETS_LATE, "TERM", departure));
+            if (node == NodeKind.SERVE) {
+                cases.add(new DepartureCase(node, EndpointScript.RESETS_LATE, "HUP", departure));
+            }
+        }
+        return cases;
+    }
+
+    /** Plays one case with all backlogs. */
+    List<DepartureResult> run(DepartureCase departureCase) throws IOException, InterruptedException {
+        Path caseFolder =
+                folder.resolve(departureCase.toString().toLowerCase(Locale.ROOT).replace(' ', '-'));
+        try (SingleNodeTestBed testBed =
+                new SingleNodeTestBed(departureCase.node(), image, departureCase.script(), ENDPOINTS, caseFolder)) {
+            List<LeavingClient> clients = new ArrayList<>();
+            for (ClientBacklog backlog : ClientBacklog.values()) {
+                clients.add(new LeavingClient(testBed, departureCase.departure(), backlog));
+                Thread.sleep(CLIENT_INTERVAL_MILLIS);
+            }
+            if (!departureCase.signal().isEmpty()) {
+                testBed.node().signal(departureCase.signal());
+            }
+            for (LeavingClient client : clients) {
+                client.awaitDeparture();
+            }
+            Thread.sleep(OBSERVED_MILLIS);
+            List<DepartureResult> results = new ArrayList<>();
+            for (LeavingClient client : clients) {
+                results.add(client.result(departureCase));
+                client.close();
+            }
+            return results;
+        }
+    }
+
+    /** A client that sends its backlog and leaves. */
+    private static final class LeavingClient {
+        private final SingleNodeTestBed testBed;
+        private final ClientBacklog backlog;
+        private final List<String> ids = new CopyOnWriteArrayList<>();
+        private final Socket socket;
+        private final Thread departure;
+        private volatile double leftAtSeconds;
+
+        LeavingClient(SingleNodeTestBed testBed, ClientDeparture way, ClientBacklog backlog) throws IOException {
+            this.testBed = testBed;
+            this.backlog = backlog;
+            socket = new Socket(InetAddress.getLoopbackAddress(), testBed.port());
+            socket.setTcpNoDelay(true);
+            Thread sender = DaemonThreads.start("sender", this::send);
+            departure = DaemonThreads.start("departure", () -> {
+                // a client whose output the node does not read leaves all the same
+                sender.join(STAY_MILLIS);
+                Thread.sleep(STAY_MILLIS);
+                leftAtSeconds = testBed.clock().seconds();
+                way.leave(socket);
+            });
+        }
+
+        private void send() throws IOException {
+            backlog.send(backlog.name().toLowerCase(Locale.ROOT) + "-", ids::add, text -> HttpText.write(socket, text));
+        }
+
+        void awaitDeparture() throws InterruptedException {
+            departure.join();
+        }
+
+        DepartureResult result(DepartureCase departureCase) {
+            return DepartureResult.of(departureCase, backlog, ids, leftAtSeconds, testBed.recorder());
+        }
+
+        void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/laurelkeel/soak/FloodKind.java
@@ -0,0 +1,151 @@
+package laurelkeel.soak;
+
+import java.io.IOException;
+import java.net.Socket;
+
+/** How the misbehaving clients of a {@link FloodBench} load a node. */
+public enum FloodKind {
+    /** There are no misbehaving clients. */
+    NONE(0, true) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) {}
+    },
+    /** Clients that send a large request in small pieces. */
+    SLOW_WRITERS(FloodBench.CROWD_CLIENTS, true) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) throws IOException, InterruptedException {
+            String request = largeRequest(name);
+            for (int at = 0; at < request.length(); at += PIECE_BYTES) {
+                HttpText.write(socket, request.substring(at, Math.min(request.length(), at + PIECE_BYTES)));
+                Thread.sleep(PIECE_MILLIS);
+            }
+        }
+    },
+    /** Clients that send half of a large request and stay. */
+    HALF_REQUESTS(FloodBench.CROWD_CLIENTS, true) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) throws IOException {
+            String request = largeRequest(name);
+            HttpText.write(socket, request.substring(0, request.length() - LARGE_BODY_BYTES / 2));
+        }
+    },
+    /** Clients that send several large requests at once. */
+    LARGE_REQUESTS(FloodBench.CROWD_CLIENTS, true) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) throws IOException {
+            for (int i = 0; i < REQUESTS_OF_EACH; i++) {
+                HttpText.write(socket, largeRequest(name + "-" + i));
+            }
+        }
+    },
+    /** Clients whose heads have as many short fields as fit, repeatedly. */
+    MANY_FIELDS(FloodBench.CROWD_CLIENTS, true) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) throws IOException, InterruptedException {
+            HttpText.write(socket, "GET /look/" + name + " HTTP/1.1\r\n" + "a:b\r\n".repeat(MANY_FIELD_COUNT));
+        }
+    },
+    /** Clients whose heads have just less fields than are allowed, and never end. */
+    UNFINISHED_HEADS(FloodBench.CROWD_CLIENTS, true) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) throws IOException, InterruptedException {
+            HttpText.write(
+                    socket, "GET /look/" + name + " HTTP/1.1\r\n" + ("a:" + "b".repeat(120) + "\r\n").repeat(60));
+        }
+    },
+    /** One client that sends valid requests at full speed, each with new names, and reads the responses. */
+    SOUND(1, true) {
+        @Override
+        String request(String name, int number) {
+            return new SoakRequest(name + "-" + number, true, "key-" + number, 1, "").text();
+        }
+    },
+    /** As {@link #SOUND}, and the responses are never read. */
+    SOUND_UNREAD(1, false) {
+        @Override
+        String request(String name, int number) {
+            return SOUND.request(name, number);
+        }
+    },
+    /** One client that sends requests of unknown routes at full speed, each with a new name, and reads the responses. */
+    UNKNOWN_ROUTES(1, true) {
+        @Override
+        String request(String name, int number) {
+            return "GET /route" + number + "/x HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: " + name + number + "\r\n\r\n";
+        }
+    },
+    /** As {@link #UNKNOWN_ROUTES}, and the responses are never read. */
+    UNKNOWN_ROUTES_UNREAD(1, false) {
+        @Override
+        String request(String name, int number) {
+            return UNKNOWN_ROUTES.request(name, number);
+        }
+    },
+    /** One client that sends requests of unknown tenants at full speed, each with a new name, and reads the responses. */
+    UNKNOWN_TENANTS(1, true) {
+        @Override
+        String request(String name, int number) {
+            return SOUND.request(name, number).replace("X-Account: acme", "X-Account: t" + number);
+        }
+    },
+    /** One client that requests the node's health at full speed, and reads the responses. */
+    HEALTH_CHECKS(1, true) {
+        @Override
+        String request(String name, int number) {
+            return "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+        }
+    },
+    /** As {@link #HEALTH_CHECKS}, and the responses are never read. */
+    HEALTH_CHECKS_UNREAD(1, false) {
+        @Override
+        String request(String name, int number) {
+            return HEALTH_CHECKS.request(name, number);
+        }
+    };
+
+    private static final int LARGE_BODY_BYTES = 60 << 10;
+    private static final int PIECE_BYTES = 1 << 10;
+    private static final int PIECE_MILLIS = 50;
+    private static final int REQUESTS_OF_EACH = 8;
+    private static final int MANY_FIELD_COUNT = 1_500;
+    private static final int REQUESTS_PER_WRITE = 64;
+    static final double FLOOD_SECONDS = 5;
+
+    private final int clients;
+    private final boolean readsResponses;
+
+    FloodKind(int clients, boolean readsResponses) {
+        this.clients = clients;
+        this.readsResponses = readsResponses;
+    }
+
+    int clients() {
+        return clients;
+    }
+
+    boolean readsResponses() {
+        return readsResponses;
+    }
+
+    private static String largeRequest(String name) {
+        return new SoakRequest(name, false, "k" + name, 1, "b".repeat(LARGE_BODY_BYTES)).text();
+    }
+
+    /** Returns one request of a client that sends at full speed. */
+    String request(String name, int number) {
+        throw new UnsupportedOperationException(this + " sends no request at full speed");
+    }
+
+    /** Sends what one client of this kind sends; by default requests at full speed for some seconds. */
+    void send(Socket socket, String name, RunClock clock) throws IOException, InterruptedException {
+        double end = clock.seconds() + FLOOD_SECONDS;
+        StringBuilder batch = new StringBuilder();
+        for (int number = 0; clock.seconds() < end; number += REQUESTS_PER_WRITE) {
+            batch.setLength(0);
+            for (int i = 0; i < REQUESTS_PER_WRITE; i++) {
+                batch.append(request(name, number + i));
+            }
+            HttpText.write(socket, batch.toString());
+        }
+    }
+}
--- a/src/main/java/laurelkeel/soak/NodeImage.java
+++ b/src/main/java/laurelkeel/soak/NodeImage.java
@@ -75,6 +75,14 @@
         return new NodeImage(command);
     }
 
+    /** Returns the command that runs a standalone node with the class path of this process, which has its further libraries. */
+    static NodeImage standalone(Path settings) {
+        List<String> command = new ArrayList<>(List.of(java()));
+        command.addAll(JVM_OPTIONS);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "front", settings.toString()));
+        return new NodeImage(command);
+    }
+
     /** Returns the command that runs a node. */
     List<String> command() {
         return command;
--- a/src/main/java/laurelkeel/soak/SteadyLoad.java
+++ b/src/main/java/laurelkeel/soak/SteadyLoad.java
@@ -11,12 +11,15 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
 import org.jspecify.annotations.Nullable;
 
 /** Clients that send requests to one node at a constant rate, each over one reused connection; thread-safe. */
 final class SteadyLoad {
     private static final int PARTITION_KEYS = 5_000;
     private static final double TIMEOUT_SECONDS = 2.0;
+    private static final int MAX_WAIT_MILLIS = 5_000;
     private static final int HTTP_OK = 200;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int SEEDS_PER_RUN = 1_000;
@@ -26,6 +29,8 @@
     private final List<Thread> clients = new ArrayList<>();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
+    /** Milliseconds from the time at which each request was due to its response. */
+    private final Histogram responseMillis = new ConcurrentHistogram(2);
 
     private SteadyLoad(int port, long endNanos) {
         this.port = port;
@@ -67,6 +72,11 @@
         return served.get();
     }
 
+    /** Returns how many milliseconds responses took that were not slower than this share of all, from the time they were due. */
+    long responseMillis(double percentile) {
+        return responseMillis.getValueAtPercentile(percentile);
+    }
+
     /** One client; used by its own thread only. */
     private final class Client implements DaemonThreads.Task {
         private final String name;
@@ -87,8 +97,9 @@
         public void run() throws IOException, InterruptedException {
             while (dueNanos < endNanos) {
                 TimeUnit.NANOSECONDS.sleep(dueNanos - System.nanoTime());
-                dueNanos += intervalNanos;
                 send();
+                responseMillis.recordValue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNanos));
+                dueNanos += intervalNanos;
             }
             close();
         }
@@ -98,6 +109,7 @@
             try {
                 if (connection == null) {
                     connection = Connection.open(port);
+                    connection.socket.setSoTimeout(MAX_WAIT_MILLIS);
                 }
                 HttpText.write(connection.socket, nextRequest().text());
                 NodeResponse response = NodeResponse.read(connection.in);
