Logged and counted: what a node knows of a client as an attempt begins, and how it ends

MINA closes a session whose write fails without telling the handler, so front_ended stood for a failed write as well as for a node that stops. A stop now records its reason; an end without one is broken.

New: the state of the client (connected, input_unread, ended) as the decider asks for an attempt, in the totals line, as laurelkeel_tries_asked{client} and as a log line unless connected; the line of a connection's end says for how long its input had been unread.

--- a/src/main/java/laurelkeel/front/AttemptDispatcher.java
+++ b/src/main/java/laurelkeel/front/AttemptDispatcher.java
@@ -6,6 +6,7 @@
 import laurelkeel.api.LoadReport;
 import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
+import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.upstream.EndpointResponse;
 import laurelkeel.front.upstream.Exchange;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +24,7 @@
     private final EventLoop loop;
     private final AcceptedRequestTable requests;
     private final RequestTotals totals;
+    private final ClientStateCounts clientStates;
     private final FinalAnswerGuard guard;
     private final ResponseWriter responses;
 
@@ -30,11 +32,13 @@
             NodeComponents components,
             AcceptedRequestTable requests,
             RequestTotals totals,
+            ClientStateCounts clientStates,
             FinalAnswerGuard guard,
             ResponseWriter responses) {
         this.components = components;
         this.requests = requests;
         this.totals = totals;
+        this.clientStates = clientStates;
         this.guard = guard;
         this.responses = responses;
         loop = components.loop();
@@ -53,10 +57,26 @@
             endUnsent(request, attempt);
             return;
         }
+        recordClientState(request, attempt);
         components.services().onAttemptStarted(request.clientRequest().route());
         start(request, attempt, attemptDeadline(request, action.timeoutTicks()));
     }
 
+    private void recordClientState(AcceptedRequest request, DispatchedAttempt attempt) {
+        ClientState client = request.connection().clientState();
+        clientStates.increment(client);
+        if (client != ClientState.CONNECTED) {
+            LOG.info(
+                    "request {} ({}) attempt {} on connection {}: client {}, input unread for {} ms",
+                    request.id(),
+                    request.clientRequest().clientRequestId(),
+                    attempt.number(),
+                    request.connection().id(),
+                    client,
+                    request.connection().unreadMillis());
+        }
+    }
+
     private long attemptDeadline(AcceptedRequest request, long timeoutTicks) {
         if (timeoutTicks == 0) {
             return request.deadlineTicks();
--- a/src/main/java/laurelkeel/front/FrontNode.java
+++ b/src/main/java/laurelkeel/front/FrontNode.java
@@ -15,6 +15,7 @@
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.front.ingress.ClientConnection;
 import laurelkeel.front.ingress.ClientRequest;
+import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.ingress.CloseReason;
 import laurelkeel.front.ingress.Ingress;
 import laurelkeel.front.ingress.IngressListener;
@@ -57,6 +58,7 @@
     private final RequestIntake intake;
     private final ActionExecutor executor;
     private final DrainController drain;
+    private final ClientStateCounts clientStates = new ClientStateCounts();
     private final TotalsLogger totalsLogger;
     private final NodeShutdown shutdown;
 
@@ -140,11 +142,11 @@
         executor = new ActionExecutor(
                 components,
                 requests,
-                new AttemptDispatcher(components, requests, totals, guard, responses),
+                new AttemptDispatcher(components, requests, totals, clientStates, guard, responses),
                 responses,
                 new HealthChecker(components, upstreamSettings.healthCheckTimeoutTicks()));
         drain = new DrainController(components, lifecycle, requests, ingressSettings);
-        totalsLogger = new TotalsLogger(components, totals);
+        totalsLogger = new TotalsLogger(components, totals, clientStates);
         shutdown = new NodeShutdown(components, lifecycle, requests, totalsLogger);
     }
 
@@ -273,6 +275,11 @@
         return ingress.closedConnections();
     }
 
+    @Override
+    public long attempts(ClientState client) {
+        return clientStates.count(client);
+    }
+
     @Override
     public int endpointConnections() {
         return pools.openConnections();
--- a/src/main/java/laurelkeel/front/FrontStatus.java
+++ b/src/main/java/laurelkeel/front/FrontStatus.java
@@ -1,6 +1,7 @@
 package laurelkeel.front;
 
 import java.util.Map;
+import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.ingress.CloseReason;
 
 /** The status of a front node, for health checks and metrics. Thread-safe. */
@@ -17,6 +18,9 @@
     /** Returns the number of client connections closed since the start, by reason. */
     Map<CloseReason, Long> closedConnections();
 
+    /** Returns the number of attempts that the decider has asked for since the start while their client was in a state. */
+    long attempts(ClientState client);
+
     /** Returns the number of open connections to endpoints. */
     int endpointConnections();
 
--- a/src/main/java/laurelkeel/front/NodeGauges.java
+++ b/src/main/java/laurelkeel/front/NodeGauges.java
@@ -2,6 +2,7 @@
 
 import laurelkeel.admin.ProcessMetrics;
 import laurelkeel.eventloop.EventLoop;
+import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.ingress.CloseReason;
 import laurelkeel.logging.RateLimitedAsyncAppender;
 import laurelkeel.partition.PartitionedDecider;
@@ -33,6 +34,9 @@
         metrics.gauge("laurelkeel_machine_connections", status::endpointConnections);
         metrics.gauge("laurelkeel_turned_away", status::rejectedBeforeDecision);
         metrics.gauge("laurelkeel_body_bytes_held", status::bodyBytes);
+        for (ClientState client : ClientState.values()) {
+            metrics.gauge("laurelkeel_tries_asked", "client", client.label(), () -> status.attempts(client));
+        }
         for (CloseReason reason : CloseReason.values()) {
             metrics.gauge(
                     "laurelkeel_client_connections_closed", "reason", reason.label(), () -> status.closedConnections()
--- a/src/main/java/laurelkeel/front/TotalsLogger.java
+++ b/src/main/java/laurelkeel/front/TotalsLogger.java
@@ -13,10 +13,12 @@
     private final NodeComponents components;
     private final EventLoop loop;
     private final RequestTotals totals;
+    private final ClientStateCounts clientStates;
 
-    TotalsLogger(NodeComponents components, RequestTotals totals) {
+    TotalsLogger(NodeComponents components, RequestTotals totals, ClientStateCounts clientStates) {
         this.components = components;
         this.totals = totals;
+        this.clientStates = clientStates;
         loop = components.loop();
     }
 
@@ -37,9 +39,10 @@
     /** Logs the totals since the node's start. */
     void log() {
         LOG.info(
-                "totals: {}, client connections {}, closed {}, failed accepts {}, endpoint connections {}, "
+                "totals: {}, attempts asked for by client {}, client connections {}, closed {}, failed accepts {}, endpoint connections {}, "
                         + "failed tasks {}",
                 totals,
+                clientStates,
                 components.ingress().openConnections(),
                 components.ingress().closedConnections(),
                 components.ingress().failedAccepts(),
--- a/src/main/java/laurelkeel/front/ingress/ClientConnection.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConnection.java
@@ -1,6 +1,7 @@
 package laurelkeel.front.ingress;
 
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -32,6 +33,10 @@
 
     private final AtomicBoolean occupiesSlot = new AtomicBoolean(true);
     private final AtomicReference<@Nullable CloseReason> closeReason = new AtomicReference<>();
+    /** The {@link System#nanoTime} at which reading stopped before input that may have arrived; 0 while reading goes on. */
+    private volatile long unreadSinceNanos;
+
+    private volatile boolean clientEnded;
     /** Whether reading is suspended until the I/O thread has decided whether the connection may be closed. */
     private volatile boolean closePending;
 
@@ -79,11 +84,32 @@
         requestsRead.incrementAndGet();
         // counted on the I/O thread, so that a client that floods is slowed down even while the event loop is busy
         if (unansweredRequests.incrementAndGet() > maxPipelinedRequests) {
+            // the lowest bit is set because 0 means that reading goes on
+            unreadSinceNanos = System.nanoTime() | 1;
             session.suspendRead();
             resumeReading();
         }
     }
 
+    /** Records that the client has ended its output, or that the connection has failed. Thread-safe. */
+    void markClientEnded() {
+        clientEnded = true;
+    }
+
+    /** Returns what is known about the client at this moment. */
+    public ClientState clientState() {
+        if (clientEnded) {
+            return ClientState.ENDED;
+        }
+        return unreadSinceNanos == 0 ? ClientState.CONNECTED : ClientState.INPUT_UNREAD;
+    }
+
+    /** Returns for how many milliseconds reading has been stopped; 0 while it goes on. */
+    public long unreadMillis() {
+        long sinceNanos = unreadSinceNanos;
+        return sinceNanos == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+    }
+
     /** Counts a response that was passed to the session, and resumes reading when few enough requests are unanswered. */
     void requestAnswered() {
         if (unansweredRequests.decrementAndGet() <= maxPipelinedRequests / 2 + 1) {
@@ -99,6 +125,7 @@
     /** Resumes reading, unless too many requests are unanswered or a close is pending. */
     void resumeReading() {
         if (unansweredRequests.get() <= maxPipelinedRequests && !closePending && session.isReadSuspended()) {
+            unreadSinceNanos = 0;
             session.resumeRead();
         }
     }
@@ -140,10 +167,10 @@
         closeReason.compareAndSet(null, reason);
     }
 
-    /** Returns the recorded reason; if there is none, the node itself has closed the connection by stopping. */
+    /** Returns the recorded reason; if there is none, a write has failed, which MINA reports only by closing the session. */
     CloseReason closeReason() {
         CloseReason reason = closeReason.get();
-        return reason == null ? CloseReason.NODE_STOPPED : reason;
+        return reason == null ? CloseReason.CONNECTION_ERROR : reason;
     }
 
     boolean isClosePending() {
--- a/src/main/java/laurelkeel/front/ingress/ClientIoHandler.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientIoHandler.java
@@ -76,7 +76,7 @@
         if (!connectionFailed) {
             LOG.error("client connection {}: error while handling its input", session.getId(), cause);
         }
-        recordCloseReason(
+        clientEnded(
                 ClientConnection.of(session),
                 connectionFailed ? CloseReason.CONNECTION_ERROR : CloseReason.INTERNAL_ERROR);
         session.closeNow();
@@ -85,7 +85,7 @@
     @Override
     public void inputClosed(IoSession session) {
         ClientConnection connection = ClientConnection.of(session);
-        recordCloseReason(connection, CloseReason.CLIENT_CLOSED);
+        clientEnded(connection, CloseReason.CLIENT_CLOSED);
         // otherwise the selector would report the end of input repeatedly
         session.suspendRead();
         if (connection != null && connection.unansweredRequests() > 0) {
@@ -106,14 +106,17 @@
     @Override
     public void sessionClosed(IoSession session) {
         ClientConnection connection = connection(session);
+        long unreadMillis = connection.unreadMillis();
+        clientEnded(connection, connection.closeReason());
         connections.recordClosed(connection);
         int unanswered = connection.unansweredRequests();
         if (unanswered > 0) {
             LOG.info(
-                    "client connection {} ended: {}, {} requests unanswered",
+                    "client connection {} ended: {}, {} requests unanswered, input unread for {} ms",
                     connection.id(),
                     connection.closeReason(),
-                    unanswered);
+                    unanswered,
+                    unreadMillis);
         }
         loop.post(() -> pipeline.connectionClosed(connection));
     }
@@ -126,9 +129,10 @@
         return connection;
     }
 
-    private static void recordCloseReason(@Nullable ClientConnection connection, CloseReason reason) {
+    private static void clientEnded(@Nullable ClientConnection connection, CloseReason reason) {
         if (connection != null) {
             connection.recordCloseReason(reason);
+            connection.markClientEnded();
         }
     }
 }
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -132,6 +132,7 @@
         while (System.nanoTime() < deadlineNanos && hasPendingWrites()) {
             LockSupport.parkNanos(CLOSE_POLL_NANOS);
         }
+        connections.forEach(connection -> connection.recordCloseReason(CloseReason.NODE_STOPPED));
         acceptor.dispose(false);
         // on another thread: dispose() waits for the processors' threads, and never returns if one of them has died
         threads.execute(processors::dispose);
