--- a/src/main/java/laurelkeel/soak/FloodBench.java
+++ b/src/main/java/laurelkeel/soak/FloodBench.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Measures the memory of a real node, and how long its other clients wait, while some clients misbehave. */
 public final class FloodBench {
@@ -20,6 +19,7 @@
     private static final int STEADY_REQUESTS_PER_SECOND = 100;
     private static final int SECONDS = 8;
     private static final int FLOOD_AFTER_MILLIS = 1_000;
+    private static final long FLOOD_MILLIS = (long) (FloodKind.FLOOD_SECONDS * 1_000);
     private static final int READ_BUFFER_BYTES = 64 << 10;
     private static final double HIGH_PERCENTILE = 99;
     private static final double MAXIMUM_PERCENTILE = 100;
@@ -42,11 +42,14 @@
             SteadyLoad others =
                     SteadyLoad.start(testBed.port(), STEADY_CLIENTS, STEADY_REQUESTS_PER_SECOND, SECONDS, SEED);
             Thread.sleep(FLOOD_AFTER_MILLIS);
-            AtomicLong bytesRead = new AtomicLong();
+            ReadProgress progress = new ReadProgress(testBed.clock().seconds());
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < flood.clients(); i++) {
-                sockets.add(startClient(testBed, flood, "f" + i, bytesRead));
+                sockets.add(startClient(testBed, flood, "f" + i, progress));
             }
+            Thread.sleep(FLOOD_MILLIS);
+            progress.silentUntil(testBed.clock().seconds());
+            double silenceSeconds = progress.longestSilenceSeconds();
             others.join();
             FloodResult result = new FloodResult(
                     node,
@@ -57,7 +60,8 @@
                     others.served(),
                     others.responseMillis(HIGH_PERCENTILE),
                     others.responseMillis(MAXIMUM_PERCENTILE),
-                    bytesRead.get() >> 10);
+                    progress.bytes() >> 10,
+                    silenceSeconds);
             for (Socket socket : sockets) {
                 socket.close();
             }
@@ -65,21 +69,21 @@
         }
     }
 
-    private static Socket startClient(SingleNodeTestBed testBed, FloodKind flood, String name, AtomicLong bytesRead)
+    private static Socket startClient(SingleNodeTestBed testBed, FloodKind flood, String name, ReadProgress progress)
             throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), testBed.port());
         socket.setTcpNoDelay(true);
         DaemonThreads.start("flood", () -> flood.send(socket, name, testBed.clock()));
         if (flood.readsResponses()) {
-            DaemonThreads.start("flood reader", () -> readAll(socket.getInputStream(), bytesRead));
+            DaemonThreads.start("flood reader", () -> readAll(testBed.clock(), socket.getInputStream(), progress));
         }
         return socket;
     }
 
-    private static void readAll(InputStream in, AtomicLong bytesRead) throws IOException {
+    private static void readAll(RunClock clock, InputStream in, ReadProgress progress) throws IOException {
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-            bytesRead.addAndGet(count);
+            progress.read(count, clock.seconds());
         }
     }
 }
--- a/src/main/java/laurelkeel/soak/FloodResult.java
+++ b/src/main/java/laurelkeel/soak/FloodResult.java
@@ -11,6 +11,7 @@
  * @param highMillis how long 99 of 100 of the other clients' responses took at most
  * @param maxMillis how long the slowest took
  * @param kilobytesRead size of the responses that the misbehaving clients read
+ * @param longestSilenceSeconds the longest time for which they all read nothing while the flood lasted
  */
 public record FloodResult(
         NodeKind node,
@@ -21,16 +22,17 @@
         int served,
         long highMillis,
         long maxMillis,
-        long kilobytesRead) {
+        long kilobytesRead,
+        double longestSilenceSeconds) {
     /** The header of the table of results. */
     public static final String HEADER = "| node | flood | alive | peak memory MB | others sent | others served "
-            + "| others p99 ms | others max ms | read KB |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+            + "| others p99 ms | others max ms | read KB | silence s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
     /** Returns the result as a row of the table. */
     public String row() {
         return String.format(
                 Locale.ROOT,
-                "| %s | %s | %s | %d | %d | %d | %d | %d | %d |",
+                "| %s | %s | %s | %d | %d | %d | %d | %d | %d | %.1f |",
                 node,
                 flood,
                 alive,
@@ -39,6 +41,7 @@
                 served,
                 highMillis,
                 maxMillis,
-                kilobytesRead);
+                kilobytesRead,
+                longestSilenceSeconds);
     }
 }
