The end of a client's connection is read behind its unanswered requests, or nothing is sent on

Cause: with too many unanswered requests on a connection the node suspended reading, so that neither FIN nor RST behind them was read; it learned of the end when its second response failed. Nothing asked for the client's state as an attempt began. Class: knowing that a peer is alive depended on consuming its input, and backpressure stops that.

If it has to stop reading, or has not yet read to the end of what arrived meanwhile, the client's state is input_unread. The processor tells the end before the bytes in front of it are handled. A request is started, and an attempt begun or written after its wait for a connection, only while the client is connected; else the request is refused, or fails if it may have run.

The next request on a connection starts when the response before is written, whoever made it: with reads going on, a client that reads no responses would otherwise have them pile up.

--- a/src/main/java/laurelkeel/front/AcceptedRequest.java
+++ b/src/main/java/laurelkeel/front/AcceptedRequest.java
@@ -80,6 +80,11 @@
         return attempt;
     }
 
+    /** Returns whether an attempt other than the given one has not ended yet. */
+    boolean hasAttemptInFlight(DispatchedAttempt except) {
+        return attempts.stream().anyMatch(attempt -> attempt != except && !attempt.isEnded());
+    }
+
     boolean isExpired(long nowTicks) {
         return nowTicks >= deadlineTicks;
     }
--- a/src/main/java/laurelkeel/front/AttemptDispatcher.java
+++ b/src/main/java/laurelkeel/front/AttemptDispatcher.java
@@ -53,28 +53,40 @@
         }
         DispatchedAttempt attempt = request.addAttempt(action.endpointId(), loop.nowTicks());
         int maxAttempts = components.settings().capabilities().maxAttempts();
-        if (!guard.permitsAttempt(request) || request.attempts().size() > maxAttempts) {
+        if (!guard.permitsAttempt(request)
+                || request.attempts().size() > maxAttempts
+                || !isClientConnected(request, attempt)) {
             endUnsent(request, attempt);
             return;
         }
-        recordClientState(request, attempt);
         components.services().onAttemptStarted(request.clientRequest().route());
         start(request, attempt, attemptDeadline(request, action.timeoutTicks()));
     }
 
-    private void recordClientState(AcceptedRequest request, DispatchedAttempt attempt) {
+    /**
+     * Whether the client of a request is known to be connected. If it is not, the request is ended unless an earlier attempt may
+     * still serve it.
+     */
+    private boolean isClientConnected(AcceptedRequest request, DispatchedAttempt attempt) {
         ClientState client = request.connection().clientState();
         clientStates.increment(client);
-        if (client != ClientState.CONNECTED) {
-            LOG.info(
-                    "request {} ({}) attempt {} on connection {}: client {}, input unread for {} ms",
-                    request.id(),
-                    request.clientRequest().clientRequestId(),
-                    attempt.number(),
-                    request.connection().id(),
-                    client,
-                    request.connection().unreadMillis());
+        if (client == ClientState.CONNECTED) {
+            return true;
         }
+        LOG.info(
+                "request {} ({}) attempt {} on connection {} is not sent: client {}, input unread for {} ms",
+                request.id(),
+                request.clientRequest().clientRequestId(),
+                attempt.number(),
+                request.connection().id(),
+                client,
+                request.connection().unreadMillis());
+        if (client == ClientState.ENDED) {
+            responses.clientDisconnected(request);
+        } else if (!request.hasAttemptInFlight(attempt)) {
+            responses.failUnread(request);
+        }
+        return false;
     }
 
     private long attemptDeadline(AcceptedRequest request, long timeoutTicks) {
@@ -113,19 +125,21 @@
     private void endUnsent(AcceptedRequest request, DispatchedAttempt attempt) {
         attempt.end();
         components.inbox().add(endedEvent(request, attempt, AttemptOutcome.NOT_SENT, LoadReport.NONE));
+        responses.removeIfFinished(request);
     }
 
     /**
      * Assembles the message for the endpoint when it is about to be written, since its headers state the remaining
      * time.
      *
-     * @return null if the attempt had to wait for a connection and must not be sent any more
+     * @return null if the attempt must not be sent any more, because it had to wait for a connection or its client has left
      */
     private byte @Nullable [] assembleMessage(
             AcceptedRequest request, DispatchedAttempt attempt, long attemptDeadlineTicks) {
         long now = loop.nowTicks();
         boolean waited = now > attempt.startedAtTicks();
-        if (waited && !mayStillSend(request, attempt)) {
+        boolean clientConnected = request.connection().clientState() == ClientState.CONNECTED;
+        if (!clientConnected || (waited && !mayStillSend(request, attempt))) {
             return null;
         }
         components
--- a/src/main/java/laurelkeel/front/ResponseWriter.java
+++ b/src/main/java/laurelkeel/front/ResponseWriter.java
@@ -102,6 +102,19 @@
         components.inbox().add(new Event.ClientDisconnected(request.id()));
     }
 
+    /** Ends a request for which no attempt may begin, because its client may have disconnected behind input that is not read. */
+    void failUnread(AcceptedRequest request) {
+        boolean mayHaveRun = request.attempts().size() > 1;
+        String reason = "more was sent on this connection than is read ahead";
+        answer(
+                request,
+                mayHaveRun ? RequestOutcome.FAILED : RequestOutcome.REJECTED,
+                mayHaveRun
+                        ? components.protocol().failed(false, reason + "; the req may have run")
+                        : components.protocol().rejected(0, reason));
+        components.inbox().add(new Event.ClientDisconnected(request.id()));
+    }
+
     /** Closes a request whose client has disconnected, so that no answer is pending any more. */
     void clientDisconnected(AcceptedRequest request) {
         if (request.isAnswered()) {
--- a/src/main/java/laurelkeel/front/ingress/ClientConnection.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConnection.java
@@ -1,12 +1,12 @@
 package laurelkeel.front.ingress;
 
 import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import laurelkeel.wire.ByteBudget;
 import laurelkeel.wire.HttpCodec;
 import laurelkeel.wire.HttpResponse;
+import laurelkeel.wire.InputListener;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -14,7 +14,8 @@
 
 /**
  * A connection from a client. Pipelined requests are answered in the order in which they arrived, and one is in progress at
- * a time. The others wait in the connection's queue; while too many wait, reading from the connection is suspended.
+ * a time. The others wait in the connection's queue, or undecoded in its {@link ConnectionInput}. The next one starts when the
+ * response before it is written, so that a client that does not read its responses makes the node hold no further ones.
  *
  * <p>Threading: the queue, the request in progress and {@link #write} are confined to the event loop's thread. Methods whose
  * documentation says so are called on the connection's I/O thread. All others are thread-safe.
@@ -24,22 +25,15 @@
     private static final long NANOS_PER_TICK = 100_000;
 
     private final IoSession session;
-    private final int maxPipelinedRequests;
-
-    /** Number of requests read, including invalid ones; incremented before {@link #unansweredRequests}. */
-    private final AtomicInteger requestsRead = new AtomicInteger();
-    /** Incremented by the I/O thread when a request is read, decremented when its response is passed to the session. */
-    private final AtomicInteger unansweredRequests = new AtomicInteger();
+    private final ConnectionInput input;
 
     private final AtomicBoolean occupiesSlot = new AtomicBoolean(true);
     private final AtomicReference<@Nullable CloseReason> closeReason = new AtomicReference<>();
-    /** The {@link System#nanoTime} at which reading stopped before input that may have arrived; 0 while reading goes on. */
-    private volatile long unreadSinceNanos;
-
     private volatile boolean clientEnded;
-    /** Whether reading is suspended until the I/O thread has decided whether the connection may be closed. */
+    /** Whether a task that decides about closing the connection is queued for the I/O thread. */
     private volatile boolean closePending;
 
+    private final AtomicBoolean resumePending = new AtomicBoolean();
     private volatile boolean lastResponseWritten;
     private volatile long idleSinceTicks;
     /** Accessed only by the I/O thread. */
@@ -48,6 +42,13 @@
     // the following fields are accessed only by the event loop's thread
     private final ArrayDeque<PipelinedMessage> waiting = new ArrayDeque<>();
     private boolean requestInProgress;
+    /** The write of the most recent response; null if there is none. */
+    private @Nullable WriteFuture latestWrite;
+    /** The write for whose completion the next queued message waits; null if none has waited yet. */
+    private @Nullable WriteFuture awaitedWrite;
+    /** Whether the messages that were read before the client ended its output have all been queued. */
+    private boolean inputClosed;
+
     private boolean closed;
     private boolean headRequest;
     private @Nullable Object currentToken;
@@ -56,11 +57,13 @@
     /**
      * Creates the connection of a session, without attaching it to the session.
      *
+     * @param maxPipelinedRequests number of unanswered requests above which no further one is decoded
+     * @param readAheadBudget memory for the input that all connections hold undecoded
      * @param openedTicks time when the connection opened
      */
-    ClientConnection(IoSession session, int maxPipelinedRequests, long openedTicks) {
+    ClientConnection(IoSession session, int maxPipelinedRequests, ByteBudget readAheadBudget, long openedTicks) {
         this.session = session;
-        this.maxPipelinedRequests = maxPipelinedRequests;
+        this.input = new ConnectionInput(session, maxPipelinedRequests, readAheadBudget);
         this.idleSinceTicks = openedTicks;
     }
 
@@ -71,6 +74,17 @@
 
     /** Attaches the connection to its session, where {@link #of} finds it. */
     void attach() {
+        session.setAttribute(InputListener.ATTRIBUTE, new InputListener() {
+            @Override
+            public void inputEnded() {
+                markClientEnded();
+            }
+
+            @Override
+            public void inputDrained() {
+                input.drained();
+            }
+        });
         session.setAttribute(CONNECTION, this);
     }
 
@@ -79,68 +93,54 @@
         return session.getId();
     }
 
-    /** Counts a request that was read, and suspends reading if too many are unanswered; called on the I/O thread. */
-    void requestRead() {
-        requestsRead.incrementAndGet();
-        // counted on the I/O thread, so that a client that floods is slowed down even while the event loop is busy
-        if (unansweredRequests.incrementAndGet() > maxPipelinedRequests) {
-            // the lowest bit is set because 0 means that reading goes on
-            unreadSinceNanos = System.nanoTime() | 1;
-            session.suspendRead();
-            resumeReading();
+    /** Returns the input, which belongs to the connection's I/O thread. */
+    ConnectionInput input() {
+        return input;
+    }
+
+    /** Counts a response that was passed to the session, and decodes held input when few enough requests are unanswered. */
+    void requestAnswered() {
+        if (input.requestAnswered() && resumePending.compareAndSet(false, true)) {
+            runOnIoThread(() -> {
+                resumePending.set(false);
+                input.resume();
+            });
         }
     }
 
+    /**
+     * Runs a task on the I/O thread after it has handled all input that it had already read, and after the pending responses are
+     * written; does not run it if the connection ends before.
+     */
+    private void runOnIoThread(Runnable task) {
+        session.write(HttpCodec.FlushMarker.INSTANCE).addListener(future -> {
+            if (((WriteFuture) future).isWritten()) {
+                task.run();
+            }
+        });
+    }
+
     /** Records that the client has ended its output, or that the connection has failed. Thread-safe. */
     void markClientEnded() {
         clientEnded = true;
     }
 
-    /** Returns what is known about the client at this moment. */
+    /** Returns what is known about the client at this moment. Thread-safe. */
     public ClientState clientState() {
         if (clientEnded) {
             return ClientState.ENDED;
         }
-        return unreadSinceNanos == 0 ? ClientState.CONNECTED : ClientState.INPUT_UNREAD;
+        return input.isUnread() ? ClientState.INPUT_UNREAD : ClientState.CONNECTED;
     }
 
-    /** Returns for how many milliseconds reading has been stopped; 0 while it goes on. */
+    /** Returns for how many milliseconds input has been unread; 0 if there is none. Thread-safe. */
     public long unreadMillis() {
-        long sinceNanos = unreadSinceNanos;
-        return sinceNanos == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
-    }
-
-    /** Counts a response that was passed to the session, and resumes reading when few enough requests are unanswered. */
-    void requestAnswered() {
-        if (unansweredRequests.decrementAndGet() <= maxPipelinedRequests / 2 + 1) {
-            resumeReading();
-        }
-    }
-
-    /** Records that all requests read so far have been answered. */
-    void allRequestsAnswered() {
-        unansweredRequests.set(0);
-    }
-
-    /** Resumes reading, unless too many requests are unanswered or a close is pending. */
-    void resumeReading() {
-        if (unansweredRequests.get() <= maxPipelinedRequests && !closePending && session.isReadSuspended()) {
-            unreadSinceNanos = 0;
-            session.resumeRead();
-        }
-    }
-
-    int requestsRead() {
-        return requestsRead.get();
-    }
-
-    int unansweredRequests() {
-        return unansweredRequests.get();
+        return input.unreadMillis();
     }
 
     /** Whether all requests read so far are answered and further ones are accepted. */
     boolean awaitsNextRequest() {
-        return unansweredRequests.get() == 0 && !lastResponseWritten;
+        return input.isAnswered() && !lastResponseWritten;
     }
 
     /** Returns the time since the first byte of a partially read request; 0 if there is none. */
@@ -178,19 +178,21 @@
     }
 
     /**
-     * Suspends reading, and runs a task on the I/O thread after it has handled all input that it had already read.
-     *
-     * @param decision decides whether to close the connection or to resume reading
+     * Runs a task that decides about closing the connection, on the I/O thread after it has handled all input that it had already
+     * read.
      */
-    void suspendReadingThen(Runnable decision) {
+    void decideAboutClose(Runnable decision) {
         closePending = true;
-        session.suspendRead();
-        session.write(HttpCodec.FlushMarker.INSTANCE).addListener(written -> decision.run());
+        runOnIoThread(() -> {
+            closePending = false;
+            decision.run();
+        });
     }
 
-    /** Clears the pending close; does not resume reading. */
-    void cancelPendingClose() {
-        closePending = false;
+    /** Reads nothing more, and closes the connection after the pending responses are written; called on the I/O thread. */
+    void closeUnused() {
+        session.suspendRead();
+        session.closeOnFlush();
     }
 
     /** Marks the connection's slot as released; returns false if it does not occupy one. */
@@ -246,9 +248,36 @@
 
     /** Whether a message is queued and may be handled now. */
     boolean isReadyForNext() {
+        return hasNext() && !isWriting();
+    }
+
+    private boolean hasNext() {
         return !requestInProgress && !closed && !lastResponseWritten && !waiting.isEmpty();
     }
 
+    private boolean isWriting() {
+        return latestWrite != null && !latestWrite.isDone();
+    }
+
+    /** Runs a task on any thread once the latest response is written, if a queued message waits for that; once for each write. */
+    void ifNextAwaitsWrite(Runnable task) {
+        WriteFuture write = latestWrite;
+        if (write != null && write != awaitedWrite && hasNext()) {
+            awaitedWrite = write;
+            write.addListener(written -> task.run());
+        }
+    }
+
+    /** Records that all messages that were read before the client ended its output have been queued. */
+    void markInputClosed() {
+        inputClosed = true;
+    }
+
+    /** Whether the client has ended its output and everything that it sent before is answered. */
+    boolean isFinished() {
+        return inputClosed && !closed && !requestInProgress && waiting.isEmpty() && input.isAnswered();
+    }
+
     /** Whether new messages are discarded because no further response can be written. */
     boolean discardsInput() {
         return closed || lastResponseWritten;
@@ -310,6 +339,7 @@
     /** Writes a message; if it is the last one, closes the connection after it. */
     WriteFuture write(Object message, boolean last) {
         WriteFuture written = session.write(message);
+        latestWrite = written;
         if (last) {
             lastResponseWritten = true;
             recordCloseReason(CloseReason.LAST_RESPONSE_WRITTEN);
--- a/src/main/java/laurelkeel/front/ingress/ClientIoHandler.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientIoHandler.java
@@ -58,10 +58,10 @@
                 reader.discard(request);
                 return;
             }
-            connection.requestRead();
+            connection.input().requestDecoded();
             post(connection, reader.read(connection, request, arrivedTicks));
         } else if (message instanceof HttpProtocolException failure) {
-            connection.requestRead();
+            connection.input().requestDecoded();
             post(connection, reader.rejectUnreadable(failure));
         }
     }
@@ -88,7 +88,7 @@
         clientEnded(connection, CloseReason.CLIENT_CLOSED);
         // otherwise the selector would report the end of input repeatedly
         session.suspendRead();
-        if (connection != null && connection.unansweredRequests() > 0) {
+        if (connection != null && !connection.input().isAnswered()) {
             loop.post(() -> clientClosedOutput(connection));
         } else {
             session.closeOnFlush();
@@ -107,9 +107,10 @@
     public void sessionClosed(IoSession session) {
         ClientConnection connection = connection(session);
         long unreadMillis = connection.unreadMillis();
+        connection.input().release();
         clientEnded(connection, connection.closeReason());
         connections.recordClosed(connection);
-        int unanswered = connection.unansweredRequests();
+        int unanswered = connection.input().unansweredRequests();
         if (unanswered > 0) {
             LOG.info(
                     "client connection {} ended: {}, {} requests unanswered, input unread for {} ms",
--- a/src/main/java/laurelkeel/front/ingress/ConnectionAdmission.java
+++ b/src/main/java/laurelkeel/front/ingress/ConnectionAdmission.java
@@ -1,6 +1,7 @@
 package laurelkeel.front.ingress;
 
 import java.util.function.LongSupplier;
+import laurelkeel.wire.ByteBudget;
 import org.apache.mina.core.session.IoSession;
 import org.jspecify.annotations.Nullable;
 
@@ -19,6 +20,7 @@
     private final ClientConnectionTable connections;
     private final IdleConnectionCloser closer;
     private final EarlyRejections rejections;
+    private final ByteBudget readAheadBudget;
     private final int maxAdmitted;
 
     ConnectionAdmission(
@@ -26,12 +28,14 @@
             LongSupplier clockTicks,
             ClientConnectionTable connections,
             IdleConnectionCloser closer,
-            EarlyRejections rejections) {
+            EarlyRejections rejections,
+            ByteBudget readAheadBudget) {
         this.settings = settings;
         this.clockTicks = clockTicks;
         this.connections = connections;
         this.closer = closer;
         this.rejections = rejections;
+        this.readAheadBudget = readAheadBudget;
         // some spare slots are reserved for connections that are accepted but not opened yet, or that are being closed
         int unopened = Math.min(MAX_UNOPENED_CONNECTIONS, settings.spareConnections() / 4);
         maxAdmitted = settings.maxConnections() + settings.spareConnections() - unopened;
@@ -40,7 +44,7 @@
     /** Creates the connection of a new session, and assigns a slot to it or rejects it. */
     void admit(IoSession session) {
         ClientConnection connection =
-                new ClientConnection(session, settings.maxPipelinedRequests(), clockTicks.getAsLong());
+                new ClientConnection(session, settings.maxPipelinedRequests(), readAheadBudget, clockTicks.getAsLong());
         connection.attach();
         if (connections.occupySlot() > settings.maxConnections() && settings.minIdleTicks() > 0) {
             evictIdleConnection(connection);
@@ -74,7 +78,7 @@
 
         /** Selects a connection if it may be closed and is preferable to the one selected so far. */
         void consider(ClientConnection connection) {
-            int requestsRead = connection.requestsRead();
+            int requestsRead = connection.input().decodedRequests();
             if (connection != newest
                     && mayBeClosed(connection, requestsRead)
                     && isPreferred(connection, requestsRead)) {
--- a/src/main/java/laurelkeel/front/ingress/ConnectionSweeper.java
+++ b/src/main/java/laurelkeel/front/ingress/ConnectionSweeper.java
@@ -49,7 +49,7 @@
     }
 
     private void sweep(ClientConnection connection, long nowTicks) {
-        int requestsRead = connection.requestsRead();
+        int requestsRead = connection.input().decodedRequests();
         if (connection.writeStalledTicks(nowTicks) > settings.writeTimeoutTicks()) {
             connection.recordCloseReason(CloseReason.WRITE_TIMEOUT);
             connection.closeNow();
--- a/src/main/java/laurelkeel/front/ingress/Ingress.java
+++ b/src/main/java/laurelkeel/front/ingress/Ingress.java
@@ -35,6 +35,7 @@
     private final SimpleIoProcessorPool<NioSession> processors;
     private final ClientAcceptor acceptor;
     private final ByteBudget bodyBudget = ByteBudget.eighthOfHeap();
+    private final ByteBudget readAheadBudget = ByteBudget.sixteenthOfHeap();
     private final EarlyRejections rejections;
     private final ClientConnectionTable connections;
     private final IdleConnectionCloser closer;
@@ -68,7 +69,7 @@
                 loop,
                 acceptor,
                 connections,
-                new ConnectionAdmission(settings, loop::clockTicks, connections, closer, rejections),
+                new ConnectionAdmission(settings, loop::clockTicks, connections, closer, rejections, readAheadBudget),
                 new RequestReader(protocol, rejections, bodyBudget),
                 pipeline,
                 responses));
@@ -91,6 +92,7 @@
         // disabled: MINA measures it by the wall clock, which may be stepped; ConnectionSweeper enforces the write
         // timeout
         acceptor.getSessionConfig().setWriteTimeout(0);
+        acceptor.getFilterChain().addLast("read-ahead", new ReadAheadFilter());
         acceptor.getFilterChain().addLast("http", HttpCodec.server(settings.httpLimits(), bodyBudget));
         return acceptor;
     }
@@ -203,6 +205,11 @@
         return bodyBudget.reservedBytes();
     }
 
+    /** Returns the number of bytes that connections hold undecoded. */
+    public long readAheadBytes() {
+        return readAheadBudget.reservedBytes();
+    }
+
     /** Releases the memory reserved for the body of a request that has ended. */
     public void releaseBody(ClientRequest request) {
         request.releaseBody(bodyBudget);
--- a/src/main/java/laurelkeel/front/ingress/IngressSettings.java
+++ b/src/main/java/laurelkeel/front/ingress/IngressSettings.java
@@ -12,7 +12,7 @@
  * @param spareConnections number of connections that may be open in addition while idle ones are being closed to free slots
  * @param maxOpenRequests maximum number of requests in flight; further ones are rejected
  * @param maxQueuedTasks maximum number of tasks waiting for the event loop; when it is reached, new requests are rejected
- * @param maxPipelinedRequests number of unanswered requests per connection above which reading from it is suspended
+ * @param maxPipelinedRequests number of unanswered requests per connection above which no further one is decoded
  * @param idleTimeoutTicks time after which an idle connection is closed
  * @param writeTimeoutTicks time after which a connection is closed if no byte of its pending responses can be written
  * @param threads number of I/O threads
--- a/src/main/java/laurelkeel/front/ingress/RequestPipeline.java
+++ b/src/main/java/laurelkeel/front/ingress/RequestPipeline.java
@@ -2,6 +2,7 @@
 
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.wire.ByteBudget;
+import laurelkeel.wire.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -10,6 +11,8 @@
  * <p>Not thread-safe; called on the event loop's thread.
  */
 final class RequestPipeline {
+    private static final String CLIENT_ENDED = "its client ended the connection";
+
     private final IngressSettings settings;
     private final ClientProtocol protocol;
     private final EventLoop loop;
@@ -42,7 +45,10 @@
         startNext(connection);
     }
 
-    /** Handles the queued messages of a connection until a request is in progress there or the queue is empty. */
+    /**
+     * Handles the queued messages of a connection until a request is in progress there, a response is still to be written, or the
+     * queue is empty. Closes the connection if its client has ended its output and everything is answered.
+     */
     void startNext(ClientConnection connection) {
         while (connection.isReadyForNext()) {
             PipelinedMessage next = connection.pollWaiting();
@@ -50,6 +56,11 @@
                 start(connection, next);
             }
         }
+        connection.ifNextAwaitsWrite(() -> loop.post(() -> startNext(connection)));
+        if (connection.isFinished()) {
+            connection.markClosed();
+            connection.closeOnFlush();
+        }
     }
 
     private void start(ClientConnection connection, PipelinedMessage message) {
@@ -57,24 +68,35 @@
         if (message instanceof PipelinedMessage.RoutedRequest routed) {
             startRequest(connection, routed);
         } else if (message instanceof PipelinedMessage.NodeRequest nodeRequest) {
-            connection.setRequestInProgress(true);
-            listener.onNodeRequest(connection, nodeRequest.request());
+            startNodeRequest(connection, nodeRequest);
         } else if (message instanceof PipelinedMessage.Rejected rejected) {
             connection.setHeadRequest(rejected.headRequest());
-            connection.write(rejected.response(), rejected.closesConnection());
-            connection.requestAnswered();
+            respond(connection, rejected.response(), rejected.closesConnection());
+        }
+    }
+
+    private void startNodeRequest(ClientConnection connection, PipelinedMessage.NodeRequest message) {
+        if (connection.clientState() == ClientState.ENDED) {
+            respond(connection, protocol.notAccepted(CLIENT_ENDED), false);
+            return;
         }
+        connection.setRequestInProgress(true);
+        listener.onNodeRequest(connection, message.request());
     }
 
     private void startRequest(ClientConnection connection, PipelinedMessage.RoutedRequest message) {
         ClientRequest request = message.request();
         connection.setHeadRequest(request.headRequest());
-        String rejection = findReasonToReject();
+        if (connection.clientState() == ClientState.ENDED) {
+            request.releaseBody(bodyBudget);
+            respond(connection, protocol.notAccepted(CLIENT_ENDED), false);
+            return;
+        }
+        String rejection = findReasonToReject(connection);
         if (rejection != null) {
             request.releaseBody(bodyBudget);
             boolean last = listener.isClosingConnections() || request.closesConnection();
-            connection.write(rejections.reject(rejection, last), last);
-            connection.requestAnswered();
+            respond(connection, rejections.reject(rejection, last), last);
             return;
         }
         connection.setRequestInProgress(true);
@@ -82,38 +104,39 @@
         listener.onRequest(connection, request, message.arrivedTicks());
     }
 
-    private @Nullable String findReasonToReject() {
+    private @Nullable String findReasonToReject(ClientConnection connection) {
         if (listener.activeRequests() >= settings.maxOpenRequests()
                 || loop.queuedTasks() >= settings.maxQueuedTasks()) {
             return "this front is full";
         }
+        if (connection.clientState() == ClientState.INPUT_UNREAD) {
+            // the end of the connection may be among the unread input, so no request of this client may be sent on
+            return "more was sent on this connection than is read ahead";
+        }
         boolean stopping = listener.hasEnded() || (listener.isClosingConnections() && settings.lameDuckTicks() == 0);
         return stopping ? "this front is stopping" : null;
     }
 
+    /** Writes a response that this node has generated without starting the request. */
+    private static void respond(ClientConnection connection, HttpResponse response, boolean last) {
+        connection.write(response, last);
+        connection.requestAnswered();
+    }
+
     /**
-     * Answers all requests read from a client that has closed its side of the connection, and closes the connection. Such a
-     * client cannot be distinguished from one that has disconnected, so none of its queued requests is started; but it may
-     * still read the responses.
+     * Answers the request in progress of a client that has ended its output, and the queued ones without starting any. Such a
+     * client cannot be distinguished from one that has left, but it may still read the responses. Called after the messages that
+     * were read before the end have been queued.
      */
     void clientClosedOutput(ClientConnection connection) {
         if (connection.isRequestInProgress() && connection.currentToken() != null) {
             listener.onDisconnect(connection.currentToken());
             connection.setCurrentToken(null);
-            connection.write(protocol.failed(false, "its client ended the connection; the req may have run"), false);
+            connection.setRequestInProgress(false);
+            respond(connection, protocol.failed(false, "its client ended the connection; the req may have run"), false);
         }
-        for (PipelinedMessage next = connection.pollWaiting(); next != null; next = connection.pollWaiting()) {
-            connection.write(
-                    next instanceof PipelinedMessage.Rejected rejected
-                            ? rejected.response()
-                            : protocol.notAccepted("its client ended the connection"),
-                    false);
-            discard(next);
-        }
-        connection.allRequestsAnswered();
-        // messages that were read but are not queued yet are discarded once the connection is marked as closed
-        connection.markClosed();
-        connection.closeOnFlush();
+        connection.markInputClosed();
+        startNext(connection);
     }
 
     /** Discards the queued messages of a connection that has ended, and reports its request in progress to the listener. */
--- a/src/main/java/laurelkeel/front/ingress/ResponseSender.java
+++ b/src/main/java/laurelkeel/front/ingress/ResponseSender.java
@@ -7,8 +7,6 @@
 import laurelkeel.wire.HttpResponse;
 import laurelkeel.wire.MessageBuilder;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.future.WriteFuture;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,7 +36,11 @@
         if (closes) {
             response.headers().add("Connection", "close");
         }
-        enqueue(connection, () -> connection.isClosed() ? null : connection.write(response, closes));
+        enqueue(connection, () -> {
+            if (!connection.isClosed()) {
+                connection.write(response, closes);
+            }
+        });
     }
 
     /** See {@link Ingress#forward}. */
@@ -56,22 +58,14 @@
         enqueue(connection, () -> {
             if (connection.isClosed()) {
                 onDone.run();
-                return null;
+            } else {
+                connection.write(IoBuffer.wrap(bytes), closes).addListener(done -> onDone.run());
             }
-            WriteFuture written = connection.write(IoBuffer.wrap(bytes), closes);
-            written.addListener(done -> onDone.run());
-            return written;
         });
     }
 
-    /** Writes the final response of the request in progress. */
-    private interface ResponseWrite {
-        /** Writes the response; returns null if the connection has ended. */
-        @Nullable
-        WriteFuture write();
-    }
-
-    private void enqueue(ClientConnection connection, ResponseWrite response) {
+    /** Adds the write of the final response of the request in progress. */
+    private void enqueue(ClientConnection connection, Runnable response) {
         connection.setCurrentToken(null);
         pendingWrites.add(() -> write(connection, response));
     }
@@ -89,19 +83,11 @@
         pendingWrites.clear();
     }
 
-    private void write(ClientConnection connection, ResponseWrite response) {
-        WriteFuture written = response.write();
+    private void write(ClientConnection connection, Runnable response) {
+        response.run();
         connection.setIdleSinceTicks(loop.nowTicks());
         connection.requestAnswered();
-        if (written == null || !connection.hasWaiting()) {
-            connection.setRequestInProgress(false);
-        } else {
-            // the next request starts only when this response is written, so that a client that reads slowly is served
-            // slowly
-            written.addListener(done -> loop.post(() -> {
-                connection.setRequestInProgress(false);
-                pipeline.startNext(connection);
-            }));
-        }
+        connection.setRequestInProgress(false);
+        pipeline.startNext(connection);
     }
 }
--- a/src/main/java/laurelkeel/soak/FloodBench.java
+++ b/src/main/java/laurelkeel/soak/FloodBench.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,6 +22,7 @@
     private static final int FLOOD_AFTER_MILLIS = 1_000;
     private static final long FLOOD_MILLIS = (long) (FloodKind.FLOOD_SECONDS * 1_000);
     private static final int READ_BUFFER_BYTES = 64 << 10;
+    private static final int SMALL_BUFFER_BYTES = 4 << 10;
     private static final double HIGH_PERCENTILE = 99;
     private static final double MAXIMUM_PERCENTILE = 100;
     private static final long SEED = 1;
@@ -71,7 +73,12 @@
 
     private static Socket startClient(SingleNodeTestBed testBed, FloodKind flood, String name, ReadProgress progress)
             throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), testBed.port());
+        Socket socket = new Socket();
+        if (!flood.readsResponses()) {
+            // otherwise the kernel would take the responses of several seconds
+            socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        }
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), testBed.port()));
         socket.setTcpNoDelay(true);
         DaemonThreads.start("flood", () -> flood.send(socket, name, testBed.clock()));
         if (flood.readsResponses()) {
--- a/src/main/java/laurelkeel/soak/FloodKind.java
+++ b/src/main/java/laurelkeel/soak/FloodKind.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.locks.LockSupport;
 
 /** How the misbehaving clients of a {@link FloodBench} load a node. */
 public enum FloodKind {
@@ -101,6 +102,17 @@
         String request(String name, int number) {
             return HEALTH_CHECKS.request(name, number);
         }
+    },
+    /** One client that sends a few requests of unknown routes at a time, many times a second, and never reads the responses. */
+    PACED_UNREAD(1, false) {
+        @Override
+        void send(Socket socket, String name, RunClock clock) throws IOException {
+            double end = clock.seconds() + FLOOD_SECONDS;
+            for (int number = 0; clock.seconds() < end; number++) {
+                HttpText.write(socket, UNKNOWN_ROUTES.request(name, number).repeat(PACED_REQUESTS));
+                LockSupport.parkNanos(PACE_NANOS);
+            }
+        }
     };
 
     private static final int LARGE_BODY_BYTES = 60 << 10;
@@ -109,6 +121,8 @@
     private static final int REQUESTS_OF_EACH = 8;
     private static final int MANY_FIELD_COUNT = 1_500;
     private static final int REQUESTS_PER_WRITE = 64;
+    private static final int PACED_REQUESTS = 3;
+    private static final long PACE_NANOS = 50_000;
     static final double FLOOD_SECONDS = 5;
 
     private final int clients;
--- a/src/main/java/laurelkeel/wire/ByteBudget.java
+++ b/src/main/java/laurelkeel/wire/ByteBudget.java
@@ -11,6 +11,7 @@
  */
 public final class ByteBudget {
     private static final int HEAP_SHARE = 8;
+    private static final int READ_AHEAD_HEAP_SHARE = 16;
 
     private final long maxBytes;
     private final AtomicLong reservedBytes = new AtomicLong();
@@ -29,6 +30,11 @@
         return new ByteBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
     }
 
+    /** Returns a budget of a sixteenth of the heap, for input of clients that is read before it can be handled. */
+    public static ByteBudget sixteenthOfHeap() {
+        return new ByteBudget(Runtime.getRuntime().maxMemory() / READ_AHEAD_HEAP_SHARE);
+    }
+
     /** Reserves bytes; returns false, without reserving any, if they exceed the budget. */
     boolean tryReserve(int bytes) {
         if (reservedBytes.addAndGet(bytes) > maxBytes) {
@@ -38,6 +44,16 @@
         return true;
     }
 
+    /** Reserves bytes for what has been read already, even if they exceed the budget. */
+    public void reserve(int bytes) {
+        reservedBytes.addAndGet(bytes);
+    }
+
+    /** Whether no further bytes should be read. */
+    public boolean isExhausted() {
+        return reservedBytes.get() >= maxBytes;
+    }
+
     /** Releases reserved bytes; called once for each body by the component that handled it. */
     public void release(int bytes) {
         reservedBytes.addAndGet(-bytes);
--- a/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
+++ b/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
@@ -13,7 +13,7 @@
  * the check, a late surplus response could be mistaken for the response to the new request, and a request could be lost on a
  * connection that the peer has already closed.
  *
- * <p>It provides a {@link SocketInput} for each session, so that a decoder can look behind the end of a full read buffer.
+ * <p>It tells the {@link InputListener} of a session what its reads find, and provides a {@link SocketInput} for each session, so that a decoder can look behind the end of a full read buffer.
  */
 public final class UnexpectedInputProcessor extends NioProcessor {
     private static final int READ_AHEAD_BYTES = 64;
@@ -38,6 +38,29 @@
         return bytes.flip().buf();
     }
 
+    @Override
+    protected int read(NioSession session, IoBuffer buffer) throws Exception {
+        try {
+            int count = super.read(session, buffer);
+            if (count <= 0) {
+                tellListener(session, count < 0);
+            }
+            return count;
+        } catch (IOException e) {
+            tellListener(session, true);
+            throw e;
+        }
+    }
+
+    private static void tellListener(NioSession session, boolean ended) {
+        InputListener listener = InputListener.of(session);
+        if (listener != null && ended) {
+            listener.inputEnded();
+        } else if (listener != null) {
+            listener.inputDrained();
+        }
+    }
+
     @Override
     protected int write(NioSession session, IoBuffer bytes, int length) throws IOException {
         if (HttpCodec.takeAnnouncedRequest(session)) {
