--- a/src/main/java/laurelkeel/soak/AttemptAuditor.java
+++ b/src/main/java/laurelkeel/soak/AttemptAuditor.java
@@ -9,9 +9,6 @@
  * disconnected, and which endpoints are draining. Thread-safe; all points in time are seconds of the run's clock.
  */
 final class AttemptAuditor {
-    /** A node may tell an endpoint a remaining time that exceeds the client's by at most this slack. */
-    private static final double REMAINING_TIME_SLACK_SECONDS = 0.15;
-
     private static final int MAX_TRACKED_REQUESTS = 50_000;
     /** Gives the thread that measures the host's lateness time to run before the attempt is checked again. */
     private static final long LATENESS_SAMPLE_WAIT_MILLIS = 50;
@@ -21,15 +18,28 @@
     private record Attempt(
             String endpointId, String requestId, double receivedAt, double remainingSeconds, SentRequest request) {}
 
+    /**
+     * How far attempts may be beyond what the rules allow, by the users' pages; the host's lateness is added to each.
+     *
+     * @param disconnectSeconds how long after its client has disconnected an attempt may still arrive
+     * @param drainSeconds how long after the grace of its endpoint's drain an attempt may still arrive
+     * @param remainingSeconds by how much the remaining time that an attempt states may exceed the client's
+     */
+    record Slack(double disconnectSeconds, double drainSeconds, double remainingSeconds) {
+        static final Slack OF_THE_RULES = new Slack(0.1, 0.05, 0.15);
+    }
+
     private final RunMonitor monitor;
+    private final Slack slack;
     private final Map<String, SentRequest> requests = new ConcurrentHashMap<>();
     private final Map<String, Double> clientDisconnectedAt = new ConcurrentHashMap<>();
     private final Map<String, Double> drainEnforcedFrom = new ConcurrentHashMap<>();
     private int discoveryOutages;
     private double changesKnownFrom;
 
-    AttemptAuditor(RunMonitor monitor) {
+    AttemptAuditor(RunMonitor monitor, Slack slack) {
         this.monitor = monitor;
+        this.slack = slack;
     }
 
     /** Records that a client sends a request. */
@@ -77,10 +87,8 @@
      * Checks an attempt that an endpoint has received, and records the rules that it violates.
      *
      * @param remainingSeconds the remaining time of the client that the attempt states
-     * @param slackSeconds tolerance of the rules that apply from a point in time; the host's lateness is added to it
      */
-    void attemptReceived(String endpointId, String requestId, double remainingSeconds, double slackSeconds)
-            throws InterruptedException {
+    void attemptReceived(String endpointId, String requestId, double remainingSeconds) throws InterruptedException {
         monitor.violations().count("attempts");
         double now = monitor.clock().seconds();
         SentRequest request = requests.get(requestId);
@@ -90,28 +98,34 @@
             return;
         }
         Attempt attempt = new Attempt(endpointId, requestId, now, remainingSeconds, request);
-        if (!violatedRules(attempt, slackSeconds).isEmpty()) {
+        if (!violatedRules(attempt).isEmpty()) {
             // if the host has run late, the thread that measures this may itself run after this one
             Thread.sleep(LATENESS_SAMPLE_WAIT_MILLIS);
-            violatedRules(attempt, slackSeconds).forEach(monitor.violations()::add);
+            violatedRules(attempt).forEach(monitor.violations()::add);
         }
     }
 
-    private Map<SoakRule, String> violatedRules(Attempt attempt, double slackSeconds) {
+    private Map<SoakRule, String> violatedRules(Attempt attempt) {
         // twice, because the client's thread and the endpoint's thread may each have run late
-        double slack = slackSeconds + 2 * monitor.lateness().recentSeconds();
+        double lateness = 2 * monitor.lateness().recentSeconds();
         String requestId = attempt.requestId;
         Map<SoakRule, String> violated = new EnumMap<>(SoakRule.class);
-        if (attempt.receivedAt > clientDisconnectedAt.getOrDefault(requestId, Double.MAX_VALUE) + slack) {
+        if (attempt.receivedAt
+                > clientDisconnectedAt.getOrDefault(requestId, Double.MAX_VALUE)
+                        + slack.disconnectSeconds()
+                        + lateness) {
             violated.put(SoakRule.LOST, "an attempt for " + requestId + " began after its client had disconnected");
         }
         double actualRemainingSeconds = attempt.request.timeoutSeconds - (attempt.receivedAt - attempt.request.sentAt);
-        if (attempt.remainingSeconds > actualRemainingSeconds + REMAINING_TIME_SLACK_SECONDS + slack) {
+        if (attempt.remainingSeconds > actualRemainingSeconds + slack.remainingSeconds() + lateness) {
             violated.put(
                     SoakRule.TIME_LEFT,
                     requestId + " arrived with " + attempt.remainingSeconds + " s remaining, more than its client has");
         }
-        if (attempt.receivedAt > drainEnforcedFrom.getOrDefault(attempt.endpointId, Double.MAX_VALUE) + slack
+        if (attempt.receivedAt
+                        > drainEnforcedFrom.getOrDefault(attempt.endpointId, Double.MAX_VALUE)
+                                + slack.drainSeconds()
+                                + lateness
                 && !isOutage(attempt.receivedAt)) {
             violated.put(SoakRule.DRAIN, attempt.endpointId + " received " + requestId + " while draining");
         }
--- a/src/main/java/laurelkeel/soak/ClientBehavior.java
+++ b/src/main/java/laurelkeel/soak/ClientBehavior.java
@@ -6,6 +6,8 @@
 enum ClientBehavior {
     /** Closes its connection without waiting for the response. */
     DISCONNECTS(3),
+    /** Sends several requests at once and leaves before they are all answered, in any {@link ClientDeparture}. */
+    LEAVES_BACKLOG(2),
     /** Shuts down its output after the request and still reads the response. */
     HALF_CLOSES(2),
     /** Gives the request a timeout of a few milliseconds. */
@@ -13,7 +15,7 @@
     /** Sends a part of the request and keeps the connection open. */
     SENDS_PARTIAL_REQUEST(1),
     /** Waits for the response. */
-    AWAITS_RESPONSE(92);
+    AWAITS_RESPONSE(90);
 
     private static final int HUNDRED = 100;
 
--- a/src/main/java/laurelkeel/soak/FaultyEndpoint.java
+++ b/src/main/java/laurelkeel/soak/FaultyEndpoint.java
@@ -10,9 +10,6 @@
 /** An endpoint that serves attempts, fails some of them, and reports each to the {@link AttemptAuditor}; thread-safe. */
 final class FaultyEndpoint extends TcpServer {
     private static final ResponseMode[] MODES = ResponseMode.values();
-    /** How long after its client's disconnect, or after the drain grace of its endpoint, an attempt may still arrive. */
-    private static final double SLACK_SECONDS = 0.25;
-
     private static final int SILENCE_MILLIS = 4_000;
     private static final int MIN_SERVICE_MILLIS = 2;
     private static final int SERVICE_SPREAD_MILLIS = 30;
@@ -78,7 +75,7 @@
             }
             String requestId = Objects.requireNonNull(headers.get("x-correlation-id"), requestLine);
             double remainingSeconds = Double.parseDouble(headers.getOrDefault("x-time-left", "0"));
-            auditor.attemptReceived(id, requestId, remainingSeconds, SLACK_SECONDS);
+            auditor.attemptReceived(id, requestId, remainingSeconds);
             Thread.sleep(MIN_SERVICE_MILLIS + nextInt(SERVICE_SPREAD_MILLIS));
             if (!respond(socket, nextMode(), body(id, requestId))) {
                 return;
--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.Random;
 import laurelkeel.soak.ResponseChecker.PendingRequest;
@@ -19,6 +21,13 @@
     private static final int MAX_PAUSE_MILLIS = 40;
     private static final int MAX_DISCONNECT_DELAY_MILLIS = 30;
     private static final int RECONNECT_MILLIS = 20;
+    /** One in this many backlogs is a large one. */
+    private static final int LARGE_BACKLOG_INTERVAL = 8;
+
+    private static final int LARGE_BACKLOG = 400;
+    private static final int SMALL_BACKLOG_SPREAD = 12;
+    private static final int MAX_BACKLOG_STAY_MILLIS = 150;
+    private static final ClientDeparture[] DEPARTURES = ClientDeparture.values();
 
     private final String name;
     private final Random random;
@@ -81,6 +90,9 @@
         if (behavior == ClientBehavior.SENDS_PARTIAL_REQUEST) {
             sendPartialRequest(current);
             staysOpen = false;
+        } else if (behavior == ClientBehavior.LEAVES_BACKLOG) {
+            leaveBacklog(current);
+            staysOpen = false;
         } else {
             staysOpen = sendRequest(current, behavior);
         }
@@ -137,6 +149,55 @@
         return !response.closesConnection();
     }
 
+    /** Sends several requests at once and leaves; no attempt may begin afterwards. */
+    private void leaveBacklog(SoakConnection current) throws InterruptedException {
+        int count =
+                random.nextInt(LARGE_BACKLOG_INTERVAL) == 0 ? LARGE_BACKLOG : 2 + random.nextInt(SMALL_BACKLOG_SPREAD);
+        double timeoutSeconds = MIN_TIMEOUT_SECONDS + TIMEOUT_SPREAD_SECONDS * random.nextDouble();
+        ClientDeparture departure = DEPARTURES[random.nextInt(DEPARTURES.length)];
+        int stayMillis = random.nextInt(MAX_BACKLOG_STAY_MILLIS);
+        List<PendingRequest> pending = new ArrayList<>();
+        StringBuilder backlog = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            String id = nextId();
+            auditor.requestSent(id, timeoutSeconds);
+            pending.add(new PendingRequest(id, monitor.clock().seconds(), current));
+            backlog.append(SoakRequest.generate(random, id, timeoutSeconds).text());
+        }
+        monitor.violations().count("left behind: " + departure);
+        try {
+            current.sendRequest(backlog.toString());
+            Thread.sleep(stayMillis);
+            current.leave(departure);
+            pending.forEach(request -> auditor.clientDisconnected(request.id()));
+            if (departure == ClientDeparture.HALF_CLOSE) {
+                awaitResponses(pending, timeoutSeconds);
+            }
+        } catch (IOException e) {
+            monitor.violations().count("left behind: the node had closed the connection");
+        }
+    }
+
+    /** Reads the responses that a client that has only ended its output still gets. */
+    private void awaitResponses(List<PendingRequest> pending, double timeoutSeconds) {
+        for (PendingRequest request : pending) {
+            try {
+                if (!awaitResponse(request, timeoutSeconds)) {
+                    return;
+                }
+            } catch (SocketTimeoutException e) {
+                responseChecker.timedOut(request);
+                return;
+            } catch (ConnectionEndedException e) {
+                responseChecker.connectionEnded(request, Objects.requireNonNull(e.getMessage()));
+                return;
+            } catch (IOException e) {
+                responseChecker.connectionReset(request, String.valueOf(e.getMessage()));
+                return;
+            }
+        }
+    }
+
     /** Sends a part of a request; the node must answer with an error or close the connection in time. */
     private void sendPartialRequest(SoakConnection current) {
         String request = SoakRequest.generate(random, nextId(), PARTIAL_REQUEST_TIMEOUT_SECONDS)
--- a/src/main/java/laurelkeel/soak/SoakConnection.java
+++ b/src/main/java/laurelkeel/soak/SoakConnection.java
@@ -56,6 +56,11 @@
         HttpText.write(socket, text);
     }
 
+    /** Ends the connection, or only its sending direction, as a client does that leaves. */
+    void leave(ClientDeparture departure) throws IOException {
+        departure.leave(socket);
+    }
+
     /** Closes the sending direction; responses can still be read. */
     void shutdownOutput() throws IOException {
         socket.shutdownOutput();
--- a/src/main/java/laurelkeel/soak/SoakRun.java
+++ b/src/main/java/laurelkeel/soak/SoakRun.java
@@ -24,7 +24,7 @@
 
     private final RunMonitor monitor = RunMonitor.create();
     private final RunState state = new RunState();
-    private final AttemptAuditor auditor = new AttemptAuditor(monitor);
+    private final AttemptAuditor auditor = new AttemptAuditor(monitor, AttemptAuditor.Slack.OF_THE_RULES);
     private final ControlPlane controlPlane = new ControlPlane(monitor, state, auditor);
     private final FaultyEndpoints endpoints = new FaultyEndpoints(monitor, auditor, controlPlane);
     private final NodeController nodes;
--- a/src/test/java/laurelkeel/soak/AttemptAuditorTest.java
+++ b/src/test/java/laurelkeel/soak/AttemptAuditorTest.java
@@ -11,7 +11,7 @@
     private static final double LONG_AGO = -10;
 
     private final RunMonitor monitor = RunMonitor.create();
-    private final AttemptAuditor auditor = new AttemptAuditor(monitor);
+    private final AttemptAuditor auditor = new AttemptAuditor(monitor, new AttemptAuditor.Slack(0.001, 0, 0.15));
 
     private List<SoakRule> violatedRules() {
         return monitor.violations().violations().stream().map(Violation::rule).toList();
@@ -20,20 +20,20 @@
     @Test
     void anAttemptInTimeViolatesNoRule() throws Exception {
         auditor.requestSent("r", TIMEOUT_SECONDS);
-        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS, 0);
+        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS);
         assertEquals(List.of(), violatedRules());
     }
 
     @Test
     void anAttemptForARequestThatNoClientSentIsAViolation() throws Exception {
-        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS, 0);
+        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS);
         assertEquals(List.of(SoakRule.REQUEST_ID), violatedRules());
     }
 
     @Test
     void aRemainingTimeLongerThanTheClientsIsAViolation() throws Exception {
         auditor.requestSent("r", TIMEOUT_SECONDS);
-        auditor.attemptReceived("s-1", "r", 2 * TIMEOUT_SECONDS, 0);
+        auditor.attemptReceived("s-1", "r", 2 * TIMEOUT_SECONDS);
         assertEquals(List.of(SoakRule.TIME_LEFT), violatedRules());
     }
 
@@ -42,7 +42,7 @@
         auditor.requestSent("r", TIMEOUT_SECONDS);
         auditor.clientDisconnected("r");
         Thread.sleep(20);
-        auditor.attemptReceived("s-1", "r", 0, 0.001);
+        auditor.attemptReceived("s-1", "r", 0);
         assertEquals(List.of(SoakRule.LOST), violatedRules());
     }
 
@@ -50,7 +50,7 @@
     void anAttemptAtADrainingEndpointIsAViolation() throws Exception {
         auditor.endpointDraining("s-1", LONG_AGO);
         auditor.requestSent("r", TIMEOUT_SECONDS);
-        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS, 0);
+        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS);
         assertEquals(List.of(SoakRule.DRAIN), violatedRules());
     }
 
@@ -59,7 +59,7 @@
         auditor.endpointDraining("s-1", LONG_AGO);
         auditor.outageStarted();
         auditor.requestSent("r", TIMEOUT_SECONDS);
-        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS, 0);
+        auditor.attemptReceived("s-1", "r", TIMEOUT_SECONDS);
         assertEquals(List.of(), violatedRules());
     }
 
@@ -67,7 +67,7 @@
     void theHostsLatenessIsTolerated() throws Exception {
         auditor.requestSent("r", TIMEOUT_SECONDS);
         monitor.lateness().record(1);
-        auditor.attemptReceived("s-1", "r", 2 * TIMEOUT_SECONDS, 0);
+        auditor.attemptReceived("s-1", "r", 2 * TIMEOUT_SECONDS);
         assertEquals(List.of(), violatedRules());
     }
 }
--- a/src/test/java/laurelkeel/soak/ClientBehaviorTest.java
+++ b/src/test/java/laurelkeel/soak/ClientBehaviorTest.java
@@ -30,6 +30,8 @@
                 Map.of(
                         ClientBehavior.DISCONNECTS,
                         3,
+                        ClientBehavior.LEAVES_BACKLOG,
+                        2,
                         ClientBehavior.HALF_CLOSES,
                         2,
                         ClientBehavior.SETS_SHORT_TIMEOUT,
@@ -37,7 +39,7 @@
                         ClientBehavior.SENDS_PARTIAL_REQUEST,
                         1,
                         ClientBehavior.AWAITS_RESPONSE,
-                        92),
+                        90),
                 picked);
     }
 }
