An attempt is not written if its client's end was read since the event loop built it

When a held-up node goes on, a timeout that fell due meanwhile and the client's FIN compete: the event loop began the second attempt before the I/O thread had read the FIN (log: TIMED_OUT of three requests at one instant, attempt 1 cancelled 12 ms later).

The I/O thread reads everything that had arrived before it writes, so it asks once more immediately before the first byte: an attempt of a client whose end it has read is not written, and its connection is closed, as for unexpected input there. OutgoingRequest takes the place of a supplier and a flag.

--- a/src/main/java/laurelkeel/front/AttemptDispatcher.java
+++ b/src/main/java/laurelkeel/front/AttemptDispatcher.java
@@ -9,6 +9,7 @@
 import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.upstream.EndpointResponse;
 import laurelkeel.front.upstream.Exchange;
+import laurelkeel.front.upstream.OutgoingRequest;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,9 +54,7 @@
         }
         DispatchedAttempt attempt = request.addAttempt(action.endpointId(), loop.nowTicks());
         int maxAttempts = components.settings().capabilities().maxAttempts();
-        if (!guard.permitsAttempt(request)
-                || request.attempts().size() > maxAttempts
-                || !isClientConnected(request, attempt)) {
+        if (!guard.permitsAttempt(request) || request.attempts().size() > maxAttempts || !mayBegin(request, attempt)) {
             endUnsent(request, attempt);
             return;
         }
@@ -67,7 +66,7 @@
      * Whether the client of a request is known to be connected. If it is not, the request is ended unless an earlier attempt may
      * still serve it.
      */
-    private boolean isClientConnected(AcceptedRequest request, DispatchedAttempt attempt) {
+    private boolean mayBegin(AcceptedRequest request, DispatchedAttempt attempt) {
         ClientState client = request.connection().clientState();
         clientStates.increment(client);
         if (client == ClientState.CONNECTED) {
@@ -89,6 +88,39 @@
         return false;
     }
 
+    private static boolean isClientConnected(AcceptedRequest request) {
+        return request.connection().clientState() == ClientState.CONNECTED;
+    }
+
+    /** The message of an attempt to its endpoint. */
+    private final class AttemptMessage implements OutgoingRequest {
+        private final AcceptedRequest request;
+        private final DispatchedAttempt attempt;
+        private final long deadlineTicks;
+
+        AttemptMessage(AcceptedRequest request, DispatchedAttempt attempt, long deadlineTicks) {
+            this.request = request;
+            this.attempt = attempt;
+            this.deadlineTicks = deadlineTicks;
+        }
+
+        @Override
+        public byte @Nullable [] createMessage() {
+            return assembleMessage(request, attempt, deadlineTicks);
+        }
+
+        @Override
+        public boolean isHeadRequest() {
+            return request.clientRequest().headRequest();
+        }
+
+        /** The I/O thread may have read the end of the client's connection since the event loop built the message. */
+        @Override
+        public boolean mayBeWritten() {
+            return request.connection().clientState() != ClientState.ENDED;
+        }
+    }
+
     private long attemptDeadline(AcceptedRequest request, long timeoutTicks) {
         if (timeoutTicks == 0) {
             return request.deadlineTicks();
@@ -103,8 +135,7 @@
                     .pools()
                     .startExchange(
                             components.services().addressOf(attempt.endpointId()),
-                            () -> assembleMessage(request, attempt, deadlineTicks),
-                            request.clientRequest().headRequest(),
+                            new AttemptMessage(request, attempt, deadlineTicks),
                             (outcome, response) -> onEnded(request, attempt, outcome, response));
             attempt.setExchange(exchange);
         } catch (RuntimeException e) {
@@ -138,8 +169,7 @@
             AcceptedRequest request, DispatchedAttempt attempt, long attemptDeadlineTicks) {
         long now = loop.nowTicks();
         boolean waited = now > attempt.startedAtTicks();
-        boolean clientConnected = request.connection().clientState() == ClientState.CONNECTED;
-        if (!clientConnected || (waited && !mayStillSend(request, attempt))) {
+        if (!isClientConnected(request) || (waited && !mayStillSend(request, attempt))) {
             return null;
         }
         components
--- a/src/main/java/laurelkeel/front/HealthChecker.java
+++ b/src/main/java/laurelkeel/front/HealthChecker.java
@@ -28,7 +28,6 @@
                 .startExchange(
                         components.services().addressOf(endpointId),
                         () -> components.protocol().healthCheckRequest(components.messageBuilder(), endpointId),
-                        false,
                         check::onResponse);
         loop.schedule(loop.nowTicks() + timeoutTicks, () -> check.onTimeout(exchange));
     }
--- a/src/main/java/laurelkeel/front/upstream/ConnectionPools.java
+++ b/src/main/java/laurelkeel/front/upstream/ConnectionPools.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
 import laurelkeel.api.Event.AttemptOutcome;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.wire.ByteBudget;
@@ -86,18 +85,11 @@
     /**
      * Sends a request to an endpoint, on an idle connection or a new one.
      *
-     * @param message returns the bytes of the request, or null if it may no longer be sent; called when a connection is
-     *     available, possibly long after this call
-     * @param headRequest whether the response has no body
      * @param listener receives the result of the exchange
      */
-    public Exchange startExchange(
-            EndpointAddress address,
-            Supplier<byte @Nullable []> message,
-            boolean headRequest,
-            Exchange.Listener listener) {
+    public Exchange startExchange(EndpointAddress address, OutgoingRequest request, Exchange.Listener listener) {
         EndpointConnectionPool pool = pools.getOrCreate(address);
-        Exchange exchange = new Exchange(pool, message, headRequest, listener);
+        Exchange exchange = new Exchange(pool, request, listener);
         if (address.socketAddress() == null || !pool.acceptsExchange()) {
             loop.post(() -> exchange.end(AttemptOutcome.CONNECT_FAILED, null));
         } else {
--- a/src/main/java/laurelkeel/front/upstream/EndpointConnection.java
+++ b/src/main/java/laurelkeel/front/upstream/EndpointConnection.java
@@ -91,10 +91,10 @@
         used = true;
         next.sentOn(this, nowTicks);
         writtenBytesBeforeExchange = session.getWrittenBytes();
-        if (next.isHeadRequest()) {
+        if (next.request().isHeadRequest()) {
             HttpCodec.expectHeadResponse(session);
         }
-        HttpCodec.announceRequest(session);
+        HttpCodec.announceRequest(session, next.request()::mayBeWritten);
         session.write(IoBuffer.wrap(message));
     }
 
--- a/src/main/java/laurelkeel/front/upstream/Exchange.java
+++ b/src/main/java/laurelkeel/front/upstream/Exchange.java
@@ -1,6 +1,5 @@
 package laurelkeel.front.upstream;
 
-import java.util.function.Supplier;
 import laurelkeel.api.Event.AttemptOutcome;
 import laurelkeel.eventloop.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -29,8 +28,7 @@
     }
 
     private final EndpointConnectionPool pool;
-    private final Supplier<byte @Nullable []> message;
-    private final boolean headRequest;
+    private final OutgoingRequest request;
     private final Listener listener;
     /** The connection that the request was sent on; null before that and after the exchange is detached from it. */
     private @Nullable EndpointConnection connection;
@@ -42,14 +40,10 @@
 
     /**
      * Creates an exchange that is not dispatched yet.
-     *
-     * @param message returns the bytes of the request; see {@link ConnectionPools#startExchange}
-     * @param headRequest whether this is a HEAD request, whose response has no body
      */
-    Exchange(EndpointConnectionPool pool, Supplier<byte @Nullable []> message, boolean headRequest, Listener listener) {
+    Exchange(EndpointConnectionPool pool, OutgoingRequest request, Listener listener) {
         this.pool = pool;
-        this.message = message;
-        this.headRequest = headRequest;
+        this.request = request;
         this.listener = listener;
     }
 
@@ -83,8 +77,8 @@
         return pool;
     }
 
-    boolean isHeadRequest() {
-        return headRequest;
+    OutgoingRequest request() {
+        return request;
     }
 
     boolean hasEnded() {
@@ -94,7 +88,7 @@
     /** Returns the bytes of the request; null if it may no longer be sent or cannot be built. */
     byte @Nullable [] createMessage() {
         try {
-            return message.get();
+            return request.createMessage();
         } catch (RuntimeException e) {
             LOG.error("cannot build the request to endpoint {}", pool.address().key(), e);
             return null;
--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -1,5 +1,6 @@
 package laurelkeel.wire;
 
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.filter.codec.ProtocolCodecFactory;
@@ -82,14 +83,19 @@
                 new HttpCodec(HttpParser.MessageKind.RESPONSE, limits, bodyBudget, oneRequestAtATime));
     }
 
-    /** Announces that a request is about to be written; for connections with one request at a time. */
-    public static void announceRequest(IoSession session) {
-        session.setAttribute(REQUEST_ANNOUNCED, true);
+    /**
+     * Announces that a request is about to be written; for connections with one request at a time.
+     *
+     * @param mayBeWritten asked on the I/O thread immediately before the first byte is written; if it returns false, the
+     *     connection is closed and no byte is written
+     */
+    public static void announceRequest(IoSession session, BooleanSupplier mayBeWritten) {
+        session.setAttribute(REQUEST_ANNOUNCED, mayBeWritten);
     }
 
-    /** Removes the announcement of a request that is about to be written; returns false if there was none. */
-    static boolean takeAnnouncedRequest(IoSession session) {
-        return session.removeAttribute(REQUEST_ANNOUNCED) != null;
+    /** Removes the announcement of a request and returns whether it may be written; null if there was none. */
+    static @Nullable BooleanSupplier takeAnnouncedRequest(IoSession session) {
+        return session.removeAttribute(REQUEST_ANNOUNCED) instanceof BooleanSupplier mayBeWritten ? mayBeWritten : null;
     }
 
     /** Records that the following input belongs to a response; called on the I/O thread. */
--- a/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
+++ b/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -63,7 +64,11 @@
 
     @Override
     protected int write(NioSession session, IoBuffer bytes, int length) throws IOException {
-        if (HttpCodec.takeAnnouncedRequest(session)) {
+        BooleanSupplier mayBeWritten = HttpCodec.takeAnnouncedRequest(session);
+        if (mayBeWritten != null) {
+            if (!mayBeWritten.getAsBoolean()) {
+                throw new IOException("the request may no longer be written");
+            }
             if (readByte(session) != 0) {
                 // MINA closes the session, and no byte of the request was written
                 throw new IOException("unexpected input before a request, or the connection is closed");
--- a/src/test/java/laurelkeel/front/upstream/ConnectionPoolsTestBed.java
+++ b/src/test/java/laurelkeel/front/upstream/ConnectionPoolsTestBed.java
@@ -51,7 +51,6 @@
         loop.post(() -> pools.startExchange(
                 address,
                 () -> "GET / HTTP/1.1\r\n\r\n".getBytes(UTF_8),
-                false,
                 (outcome, response) -> ended.complete(new Ended(
                         outcome,
                         response == null
--- a/src/test/java/laurelkeel/front/upstream/EndpointConnectionPoolTest.java
+++ b/src/test/java/laurelkeel/front/upstream/EndpointConnectionPoolTest.java
@@ -28,7 +28,7 @@
     }
 
     private Exchange exchange() {
-        return new Exchange(pool, () -> new byte[0], false, (outcome, response) -> {});
+        return new Exchange(pool, () -> new byte[0], (outcome, response) -> {});
     }
 
     @Test
