--- a/src/main/java/laurelkeel/front/FrontNode.java
+++ b/src/main/java/laurelkeel/front/FrontNode.java
@@ -290,6 +290,11 @@
         return ingress.rejectedBeforeDecision();
     }
 
+    @Override
+    public long readAheadBytes() {
+        return ingress.readAheadBytes();
+    }
+
     @Override
     public long bodyBytes() {
         return ingress.bodyBytes() + pools.bodyBytes();
--- a/src/main/java/laurelkeel/front/FrontStatus.java
+++ b/src/main/java/laurelkeel/front/FrontStatus.java
@@ -30,6 +30,9 @@
      */
     int rejectedBeforeDecision();
 
+    /** Returns the number of bytes that client connections hold undecoded, behind requests that are not answered yet. */
+    long readAheadBytes();
+
     /** Returns the number of bytes reserved for request bodies from clients and response bodies from endpoints. */
     long bodyBytes();
 }
--- a/src/main/java/laurelkeel/front/NodeGauges.java
+++ b/src/main/java/laurelkeel/front/NodeGauges.java
@@ -34,6 +34,7 @@
         metrics.gauge("laurelkeel_machine_connections", status::endpointConnections);
         metrics.gauge("laurelkeel_turned_away", status::rejectedBeforeDecision);
         metrics.gauge("laurelkeel_body_bytes_held", status::bodyBytes);
+        metrics.gauge("laurelkeel_read_ahead_bytes_held", status::readAheadBytes);
         for (ClientState client : ClientState.values()) {
             metrics.gauge("laurelkeel_tries_asked", "client", client.label(), () -> status.attempts(client));
         }
--- a/src/main/java/laurelkeel/front/TotalsLogger.java
+++ b/src/main/java/laurelkeel/front/TotalsLogger.java
@@ -39,11 +39,12 @@
     /** Logs the totals since the node's start. */
     void log() {
         LOG.info(
-                "totals: {}, attempts asked for by client {}, client connections {}, closed {}, failed accepts {}, endpoint connections {}, "
+                "totals: {}, attempts asked for by client {}, client connections {}, input held {} bytes, closed {}, failed accepts {}, endpoint connections {}, "
                         + "failed tasks {}",
                 totals,
                 clientStates,
                 components.ingress().openConnections(),
+                components.ingress().readAheadBytes(),
                 components.ingress().closedConnections(),
                 components.ingress().failedAccepts(),
                 components.pools().openConnections(),
--- a/src/main/java/laurelkeel/soak/DepartureBench.java
+++ b/src/main/java/laurelkeel/soak/DepartureBench.java
@@ -1,6 +1,8 @@
 package laurelkeel.soak;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -22,6 +24,10 @@
     private static final int OBSERVED_MILLIS = 3_000;
 
     private static final int CLIENT_INTERVAL_MILLIS = 20;
+    private static final int RETURNING_REQUESTS = 4;
+    private static final int MAX_SENT_AGAIN = 5;
+    private static final int PAUSE_BEFORE_SENDING_AGAIN_MILLIS = 50;
+    private static final int HTTP_OK = 200;
 
     private final NodeImage image;
     private final Path folder;
@@ -50,6 +56,7 @@
             for (EndpointScript script : EndpointScript.values()) {
                 cases.add(new DepartureCase(node, script, "", departure));
             }
+            cases.add(new DepartureCase(node, EndpointScript.SERVES_LATE, "", departure, true));
             cases.add(new DepartureCase(node, EndpointScript.RESETS_LATE, "TERM", departure));
             if (node == NodeKind.SERVE) {
                 cases.add(new DepartureCase(node, EndpointScript.RESETS_LATE, "HUP", departure));
@@ -74,6 +81,9 @@
             }
             for (LeavingClient client : clients) {
                 client.awaitDeparture();
+                if (departureCase.returns()) {
+                    client.comeAgain();
+                }
             }
             Thread.sleep(OBSERVED_MILLIS);
             List<DepartureResult> results = new ArrayList<>();
@@ -117,6 +127,29 @@
             departure.join();
         }
 
+        /** Sends the first requests again, one after the other, each until it is neither refused nor rejected as already open. */
+        void comeAgain() {
+            DaemonThreads.start("return", () -> {
+                try (Socket again = new Socket(InetAddress.getLoopbackAddress(), testBed.port())) {
+                    InputStream in = new BufferedInputStream(again.getInputStream());
+                    for (String id : ids.subList(0, Math.min(ids.size(), RETURNING_REQUESTS))) {
+                        sendUntilServed(again, in, id);
+                    }
+                }
+            });
+        }
+
+        private static void sendUntilServed(Socket again, InputStream in, String id)
+                throws IOException, InterruptedException {
+            String text = new SoakRequest(id, true, "k", ClientBacklog.TIMEOUT_SECONDS, "").text();
+            NodeResponse response = null;
+            for (int sent = 0; sent < MAX_SENT_AGAIN && (response == null || response.status() != HTTP_OK); sent++) {
+                HttpText.write(again, text);
+                response = NodeResponse.read(in);
+                Thread.sleep(PAUSE_BEFORE_SENDING_AGAIN_MILLIS);
+            }
+        }
+
         DepartureResult result(DepartureCase departureCase) {
             return DepartureResult.of(departureCase, backlog, ids, leftAtSeconds, testBed.recorder());
         }
--- a/src/main/java/laurelkeel/soak/DepartureResult.java
+++ b/src/main/java/laurelkeel/soak/DepartureResult.java
@@ -12,6 +12,7 @@
  * @param lateFurther number of further attempts that began too long after the client had left
  * @param latestSeconds how long after the client had left the last attempt began; 0 if none began after
  * @param completions number of requests served at least once
+ * @param servedTwice number of requests that endpoints served more than once
  */
 public record DepartureResult(
         DepartureCase departureCase,
@@ -21,10 +22,11 @@
         int lateFirst,
         int lateFurther,
         double latestSeconds,
-        int completions) {
+        int completions,
+        int servedTwice) {
     /** The header of the table of results. */
     public static final String HEADER = "| node | attempts are | client | behind | requests | attempts | served "
-            + "| late first | late further | last after |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+            + "| late first | late further | last after | served twice |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
     /** How long after its client has left an attempt may begin, by the users' page. */
     public static final double MAX_SECONDS_AFTER_END = 0.1;
@@ -39,11 +41,13 @@
         int lateFirst = 0;
         int lateFurther = 0;
         int completions = 0;
+        int servedTwice = 0;
         double latest = 0;
         for (String id : ids) {
             List<Double> received = recorder.attempts(id);
             attempts += received.size();
             completions += recorder.completions(id) > 0 ? 1 : 0;
+            servedTwice += recorder.completions(id) > 1 ? 1 : 0;
             for (int i = 0; i < received.size(); i++) {
                 double afterSeconds = received.get(i) - leftAtSeconds;
                 latest = Math.max(latest, afterSeconds);
@@ -53,29 +57,30 @@
             }
         }
         return new DepartureResult(
-                departureCase, backlog, ids.size(), attempts, lateFirst, lateFurther, latest, completions);
+                departureCase, backlog, ids.size(), attempts, lateFirst, lateFurther, latest, completions, servedTwice);
     }
 
-    /** Whether an attempt began too long after the client had left. */
+    /** Whether an attempt began too long after the client had left, or a request that came again was served twice. */
     public boolean isBroken() {
-        return lateFirst + lateFurther > 0;
+        return departureCase.returns() ? servedTwice > 0 : lateFirst + lateFurther > 0;
     }
 
     /** Returns the result as a row of the table. */
     public String row() {
         return String.format(
                 Locale.ROOT,
-                "| %s | %s%s | %s | %s | %d | %d | %d | %d | %d | %.3f |",
+                "| %s | %s%s | %s | %s | %d | %d | %d | %d | %d | %.3f | %d |",
                 departureCase.node(),
                 departureCase.script(),
                 departureCase.signal().isEmpty() ? "" : "+" + departureCase.signal(),
-                departureCase.departure(),
+                departureCase.departure() + (departureCase.returns() ? " and returns" : ""),
                 backlog,
                 requests,
                 attempts,
                 completions,
                 lateFirst,
                 lateFurther,
-                latestSeconds);
+                latestSeconds,
+                servedTwice);
     }
 }
