--- a/src/main/java/laurelkeel/front/ResponseWriter.java
+++ b/src/main/java/laurelkeel/front/ResponseWriter.java
@@ -4,6 +4,7 @@
 import laurelkeel.api.Event;
 import laurelkeel.api.Ticks;
 import laurelkeel.front.ingress.ClientRequest;
+import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.ingress.Ingress;
 import laurelkeel.front.upstream.EndpointResponse;
 import laurelkeel.wire.ForwardedMessage;
@@ -105,13 +106,12 @@
     /** Ends a request for which no attempt may begin, because its client may have disconnected behind input that is not read. */
     void failUnread(AcceptedRequest request) {
         boolean mayHaveRun = request.attempts().size() > 1;
-        String reason = "more was sent on this connection than is read ahead";
         answer(
                 request,
                 mayHaveRun ? RequestOutcome.FAILED : RequestOutcome.REJECTED,
                 mayHaveRun
-                        ? components.protocol().failed(false, reason + "; the req may have run")
-                        : components.protocol().rejected(0, reason));
+                        ? components.protocol().failed(false, ClientState.UNREAD_REASON + "; the req may have run")
+                        : components.protocol().rejected(0, ClientState.UNREAD_REASON));
         components.inbox().add(new Event.ClientDisconnected(request.id()));
     }
 
--- a/src/main/java/laurelkeel/front/ingress/ClientConnection.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConnection.java
@@ -242,10 +242,6 @@
         return waiting.poll();
     }
 
-    boolean hasWaiting() {
-        return !waiting.isEmpty();
-    }
-
     /** Whether a message is queued and may be handled now. */
     boolean isReadyForNext() {
         return hasNext() && !isWriting();
--- a/src/main/java/laurelkeel/front/ingress/ClientState.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientState.java
@@ -9,6 +9,9 @@
     /** The client has ended its output, or its connection has failed. */
     ENDED("ended");
 
+    /** Why the requests of a client are refused while its state is {@link #INPUT_UNREAD}, for the bodies of responses. */
+    public static final String UNREAD_REASON = "more was sent on this connection than is read ahead";
+
     private final String label;
 
     ClientState(String label) {
--- a/src/main/java/laurelkeel/front/ingress/RequestPipeline.java
+++ b/src/main/java/laurelkeel/front/ingress/RequestPipeline.java
@@ -111,7 +111,7 @@
         }
         if (connection.clientState() == ClientState.INPUT_UNREAD) {
             // the end of the connection may be among the unread input, so no request of this client may be sent on
-            return "more was sent on this connection than is read ahead";
+            return ClientState.UNREAD_REASON;
         }
         boolean stopping = listener.hasEnded() || (listener.isClosingConnections() && settings.lameDuckTicks() == 0);
         return stopping ? "this front is stopping" : null;
--- a/src/test/java/laurelkeel/front/ingress/RequestPipelineTest.java
+++ b/src/test/java/laurelkeel/front/ingress/RequestPipelineTest.java
@@ -1,7 +1,7 @@
 package laurelkeel.front.ingress;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -153,7 +153,7 @@
         assertEquals(List.of("its client ended the connection"), protocol.rejectionReasons);
         assertEquals(0, connection.input().unansweredRequests());
         assertEquals(0, rejections.count(), "it was not rejected for lack of capacity");
-        assertFalse(connection.hasWaiting());
+        assertNull(connection.pollWaiting());
         assertTrue(connection.isClosed());
     }
 }
