--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -167,17 +167,25 @@
         monitor.violations().count("left behind: " + departure);
         try {
             current.sendRequest(backlog.toString());
-            Thread.sleep(stayMillis);
-            current.leave(departure);
-            pending.forEach(request -> auditor.clientDisconnected(request.id()));
             if (departure == ClientDeparture.HALF_CLOSE) {
+                // reads meanwhile, so that the time at which the node closes the connection is seen as it is
+                DaemonThreads.start("half-close", () -> leave(current, departure, stayMillis, pending));
                 awaitResponses(pending, timeoutSeconds);
+            } else {
+                leave(current, departure, stayMillis, pending);
             }
         } catch (IOException e) {
             monitor.violations().count("left behind: the node had closed the connection");
         }
     }
 
+    private void leave(SoakConnection current, ClientDeparture departure, int stayMillis, List<PendingRequest> pending)
+            throws IOException, InterruptedException {
+        Thread.sleep(stayMillis);
+        current.leave(departure);
+        pending.forEach(request -> auditor.clientDisconnected(request.id()));
+    }
+
     /** Reads the responses that a client that has only ended its output still gets. */
     private void awaitResponses(List<PendingRequest> pending, double timeoutSeconds) {
         for (PendingRequest request : pending) {
