A half-closed connection is closed also where its last held input brings no request

If the last held input is only a part of a request and is decoded after the last response has been passed on (a race, and only where one request may be pipelined), nobody looked again, and the connection stayed open until its idle or partial-request timeout. The I/O thread now has it looked at again after such input. Both places that pass responses on count them through RequestPipeline.answered.

The new test, 100 requests and a part of one before a half-close, passed before as well: it guards the path, it does not show the race.

--- a/src/main/java/laurelkeel/front/ingress/ClientConnection.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConnection.java
@@ -98,12 +98,19 @@
         return input;
     }
 
-    /** Counts a response that was passed to the session, and decodes held input when few enough requests are unanswered. */
-    void requestAnswered() {
+    /**
+     * Counts a response that was passed to the session, and decodes held input when few enough requests are unanswered.
+     *
+     * @param onInputAnswered run on the I/O thread if the held input contained no further request, and all others are answered
+     */
+    void requestAnswered(Runnable onInputAnswered) {
         if (input.requestAnswered() && resumePending.compareAndSet(false, true)) {
             runOnIoThread(() -> {
                 resumePending.set(false);
                 input.resume();
+                if (input.isAnswered()) {
+                    onInputAnswered.run();
+                }
             });
         }
     }
--- a/src/main/java/laurelkeel/front/ingress/RequestPipeline.java
+++ b/src/main/java/laurelkeel/front/ingress/RequestPipeline.java
@@ -118,9 +118,16 @@
     }
 
     /** Writes a response that this node has generated without starting the request. */
-    private static void respond(ClientConnection connection, HttpResponse response, boolean last) {
+    private void respond(ClientConnection connection, HttpResponse response, boolean last) {
         connection.write(response, last);
-        connection.requestAnswered();
+        answered(connection);
+    }
+
+    /** Counts a response that was passed to the session. */
+    void answered(ClientConnection connection) {
+        // the part of a request that held input ends with brings no message, after which a finished connection would be
+        // closed
+        connection.requestAnswered(() -> loop.post(() -> startNext(connection)));
     }
 
     /**
@@ -133,7 +140,7 @@
             listener.onDisconnect(connection.currentToken());
             connection.setCurrentToken(null);
             connection.setRequestInProgress(false);
-            respond(connection, protocol.failed(false, "its client ended the connection; the req may have run"), false);
+            respond(connection, protocol.failed(false, CLIENT_ENDED + "; the req may have run"), false);
         }
         connection.markInputClosed();
         startNext(connection);
--- a/src/main/java/laurelkeel/front/ingress/ResponseSender.java
+++ b/src/main/java/laurelkeel/front/ingress/ResponseSender.java
@@ -86,7 +86,7 @@
     private void write(ClientConnection connection, Runnable response) {
         response.run();
         connection.setIdleSinceTicks(loop.nowTicks());
-        connection.requestAnswered();
+        pipeline.answered(connection);
         connection.setRequestInProgress(false);
         pipeline.startNext(connection);
     }
--- a/src/test/java/laurelkeel/platform/PlatformNodeTest.java
+++ b/src/test/java/laurelkeel/platform/PlatformNodeTest.java
@@ -16,6 +16,9 @@
 
 /** A node's connections: drain, idle connections, and clients that half-close their connections. */
 class PlatformNodeTest {
+    /** More requests than are decoded while the first one is unanswered. */
+    private static final int LARGE_BACKLOG = 100;
+
     @Test
     void aDrainingNodeStillAcceptsAndAnswersRequests() throws Exception {
         try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
@@ -126,4 +129,25 @@
             assertEquals("<end>", receive(client));
         }
     }
+
+    /** The part of a request behind a half-closed client's backlog must not keep its connection open. */
+    @Test
+    void aHalfClosedConnectionEndsAfterItsResponsesEvenBehindAPartOfARequest() throws Exception {
+        try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
+            Socket client = testBed.connectClient();
+            send(client, getRequest("1", ""));
+            receive(testBed.endpoint.nextConnection());
+            StringBuilder backlog = new StringBuilder();
+            for (int i = 2; i <= LARGE_BACKLOG; i++) {
+                backlog.append(getRequest(Integer.toString(i), ""));
+            }
+            send(client, backlog + "GET /look HTTP/1.1\r\nHo");
+            client.shutdownOutput();
+            assertTrue(receive(client).startsWith("HTTP/1.1 502 "));
+            for (int i = 2; i <= LARGE_BACKLOG; i++) {
+                assertTrue(receive(client).startsWith("HTTP/1.1 503 "), "response " + i);
+            }
+            assertEquals("<end>", receive(client));
+        }
+    }
 }
