--- a/src/main/java/laurelkeel/front/AttemptDispatcher.java
+++ b/src/main/java/laurelkeel/front/AttemptDispatcher.java
@@ -7,6 +7,7 @@
 import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.front.ingress.ClientState;
+import laurelkeel.front.ingress.EnumCounts;
 import laurelkeel.front.upstream.EndpointResponse;
 import laurelkeel.front.upstream.Exchange;
 import laurelkeel.front.upstream.OutgoingRequest;
@@ -25,7 +26,7 @@
     private final EventLoop loop;
     private final AcceptedRequestTable requests;
     private final RequestTotals totals;
-    private final ClientStateCounts clientStates;
+    private final EnumCounts<ClientState> attemptsByClientState;
     private final FinalAnswerGuard guard;
     private final ResponseWriter responses;
 
@@ -33,13 +34,13 @@
             NodeComponents components,
             AcceptedRequestTable requests,
             RequestTotals totals,
-            ClientStateCounts clientStates,
+            EnumCounts<ClientState> attemptsByClientState,
             FinalAnswerGuard guard,
             ResponseWriter responses) {
         this.components = components;
         this.requests = requests;
         this.totals = totals;
-        this.clientStates = clientStates;
+        this.attemptsByClientState = attemptsByClientState;
         this.guard = guard;
         this.responses = responses;
         loop = components.loop();
@@ -54,24 +55,25 @@
         }
         DispatchedAttempt attempt = request.addAttempt(action.endpointId(), loop.nowTicks());
         int maxAttempts = components.settings().capabilities().maxAttempts();
-        if (!guard.permitsAttempt(request) || request.attempts().size() > maxAttempts || !mayBegin(request, attempt)) {
+        if (!guard.permitsAttempt(request) || request.attempts().size() > maxAttempts) {
             endUnsent(request, attempt);
             return;
         }
+        ClientState client = request.connection().clientState();
+        attemptsByClientState.increment(client);
+        if (client != ClientState.CONNECTED) {
+            withhold(request, attempt, client);
+            return;
+        }
         components.services().onAttemptStarted(request.clientRequest().route());
         start(request, attempt, attemptDeadline(request, action.timeoutTicks()));
     }
 
     /**
-     * Whether the client of a request is known to be connected. If it is not, the request is ended unless an earlier attempt may
-     * still serve it.
+     * Ends an attempt that may not be sent, because the client is not known to be connected, and its request, unless an earlier
+     * attempt may still serve that.
      */
-    private boolean mayBegin(AcceptedRequest request, DispatchedAttempt attempt) {
-        ClientState client = request.connection().clientState();
-        clientStates.increment(client);
-        if (client == ClientState.CONNECTED) {
-            return true;
-        }
+    private void withhold(AcceptedRequest request, DispatchedAttempt attempt, ClientState client) {
         LOG.info(
                 "request {} ({}) attempt {} on connection {} is not sent: client {}, input unread for {} ms",
                 request.id(),
@@ -85,11 +87,7 @@
         } else if (!request.hasAttemptInFlight(attempt)) {
             responses.failUnread(request);
         }
-        return false;
-    }
-
-    private static boolean isClientConnected(AcceptedRequest request) {
-        return request.connection().clientState() == ClientState.CONNECTED;
+        endUnsent(request, attempt);
     }
 
     /** The message of an attempt to its endpoint. */
@@ -169,7 +167,8 @@
             AcceptedRequest request, DispatchedAttempt attempt, long attemptDeadlineTicks) {
         long now = loop.nowTicks();
         boolean waited = now > attempt.startedAtTicks();
-        if (!isClientConnected(request) || (waited && !mayStillSend(request, attempt))) {
+        boolean connected = request.connection().clientState() == ClientState.CONNECTED;
+        if (!connected || (waited && !mayStillSend(request, attempt))) {
             return null;
         }
         components
--- a/src/main/java/laurelkeel/front/FrontNode.java
+++ b/src/main/java/laurelkeel/front/FrontNode.java
@@ -17,6 +17,7 @@
 import laurelkeel.front.ingress.ClientRequest;
 import laurelkeel.front.ingress.ClientState;
 import laurelkeel.front.ingress.CloseReason;
+import laurelkeel.front.ingress.EnumCounts;
 import laurelkeel.front.ingress.Ingress;
 import laurelkeel.front.ingress.IngressListener;
 import laurelkeel.front.ingress.IngressSettings;
@@ -58,7 +59,7 @@
     private final RequestIntake intake;
     private final ActionExecutor executor;
     private final DrainController drain;
-    private final ClientStateCounts clientStates = new ClientStateCounts();
+    private final EnumCounts<ClientState> attemptsByClientState = new EnumCounts<>(ClientState.class);
     private final TotalsLogger totalsLogger;
     private final NodeShutdown shutdown;
 
@@ -142,11 +143,11 @@
         executor = new ActionExecutor(
                 components,
                 requests,
-                new AttemptDispatcher(components, requests, totals, clientStates, guard, responses),
+                new AttemptDispatcher(components, requests, totals, attemptsByClientState, guard, responses),
                 responses,
                 new HealthChecker(components, upstreamSettings.healthCheckTimeoutTicks()));
         drain = new DrainController(components, lifecycle, requests, ingressSettings);
-        totalsLogger = new TotalsLogger(components, totals, clientStates);
+        totalsLogger = new TotalsLogger(components, totals, attemptsByClientState);
         shutdown = new NodeShutdown(components, lifecycle, requests, totalsLogger);
     }
 
@@ -277,7 +278,7 @@
 
     @Override
     public long attempts(ClientState client) {
-        return clientStates.count(client);
+        return attemptsByClientState.get(client);
     }
 
     @Override
--- a/src/main/java/laurelkeel/front/TotalsLogger.java
+++ b/src/main/java/laurelkeel/front/TotalsLogger.java
@@ -2,6 +2,8 @@
 
 import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
+import laurelkeel.front.ingress.ClientState;
+import laurelkeel.front.ingress.EnumCounts;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -13,12 +15,12 @@
     private final NodeComponents components;
     private final EventLoop loop;
     private final RequestTotals totals;
-    private final ClientStateCounts clientStates;
+    private final EnumCounts<ClientState> attemptsByClientState;
 
-    TotalsLogger(NodeComponents components, RequestTotals totals, ClientStateCounts clientStates) {
+    TotalsLogger(NodeComponents components, RequestTotals totals, EnumCounts<ClientState> attemptsByClientState) {
         this.components = components;
         this.totals = totals;
-        this.clientStates = clientStates;
+        this.attemptsByClientState = attemptsByClientState;
         loop = components.loop();
     }
 
@@ -42,7 +44,7 @@
                 "totals: {}, attempts asked for by client {}, client connections {}, input held {} bytes, closed {}, failed accepts {}, endpoint connections {}, "
                         + "failed tasks {}",
                 totals,
-                clientStates,
+                attemptsByClientState,
                 components.ingress().openConnections(),
                 components.ingress().readAheadBytes(),
                 components.ingress().closedConnections(),
--- a/src/main/java/laurelkeel/front/ingress/ClientConnectionTable.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientConnectionTable.java
@@ -1,10 +1,7 @@
 package laurelkeel.front.ingress;
 
-import java.util.EnumMap;
 import java.util.Map;
-import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.mina.core.session.IoSession;
 
@@ -16,14 +13,10 @@
 final class ClientConnectionTable {
     private final ClientAcceptor acceptor;
     private final AtomicInteger occupiedSlots = new AtomicInteger();
-    /** Filled with all reasons by the constructor and not modified afterwards, so that it can be read without a lock. */
-    private final Map<CloseReason, AtomicLong> closedByReason = new EnumMap<>(CloseReason.class);
+    private final EnumCounts<CloseReason> closedByReason = new EnumCounts<>(CloseReason.class);
 
     ClientConnectionTable(ClientAcceptor acceptor) {
         this.acceptor = acceptor;
-        for (CloseReason reason : CloseReason.values()) {
-            closedByReason.put(reason, new AtomicLong());
-        }
     }
 
     /** Performs an action for each open connection. */
@@ -69,17 +62,11 @@
     /** Releases the slot of an ended connection and counts its close reason. */
     void recordClosed(ClientConnection connection) {
         releaseSlot(connection);
-        Objects.requireNonNull(closedByReason.get(connection.closeReason())).incrementAndGet();
+        closedByReason.increment(connection.closeReason());
     }
 
     /** Returns the number of connections that have ended since the start, by reason; reasons that never occurred are omitted. */
     Map<CloseReason, Long> closedConnections() {
-        Map<CloseReason, Long> counts = new EnumMap<>(CloseReason.class);
-        closedByReason.forEach((reason, count) -> {
-            if (count.get() > 0) {
-                counts.put(reason, count.get());
-            }
-        });
-        return counts;
+        return closedByReason.aboveZero();
     }
 }
--- a/src/main/java/laurelkeel/soak/AttemptRecorder.java
+++ b/src/main/java/laurelkeel/soak/AttemptRecorder.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 
@@ -37,8 +36,4 @@
     int completions(String requestId) {
         return completions.getOrDefault(requestId, 0);
     }
-
-    Map<String, List<Double>> all() {
-        return Map.copyOf(attempts);
-    }
 }
--- a/src/main/java/laurelkeel/soak/ClientBacklog.java
+++ b/src/main/java/laurelkeel/soak/ClientBacklog.java
@@ -20,23 +20,21 @@
         @Override
         void send(String idPrefix, Consumer<String> idListener, RequestSink sink) throws IOException {
             super.send(idPrefix, idListener, sink);
-            String partial = new SoakRequest(idPrefix + "partial", false, "k", TIMEOUT_SECONDS, LARGE_BODY).text();
-            sink.write(partial.substring(0, partial.length() - LARGE_BODY.length() / 2));
+            String partial =
+                    new SoakRequest(idPrefix + "partial", false, "k", TIMEOUT_SECONDS, SoakRequest.LARGE_BODY).text();
+            sink.write(partial.substring(0, partial.length() - SoakRequest.LARGE_BODY.length() / 2));
         }
     },
     /** Requests that the node answers at once, whose responses are never read, and some others behind them. */
     UNREAD_RESPONSES(6, false) {
         @Override
         void send(String idPrefix, Consumer<String> idListener, RequestSink sink) throws IOException {
-            sink.write(HEALTH_REQUEST.repeat(HEALTH_REQUESTS));
+            sink.write(SoakRequest.HEALTH_CHECK.repeat(HEALTH_REQUESTS));
             super.send(idPrefix, idListener, sink);
         }
     };
 
     static final double TIMEOUT_SECONDS = 2;
-    private static final int LARGE_BODY_BYTES = 60 << 10;
-    private static final String LARGE_BODY = "b".repeat(LARGE_BODY_BYTES);
-    private static final String HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final int HEALTH_REQUESTS = 3;
 
     /** Receives the bytes that a client sends. */
@@ -61,7 +59,8 @@
         for (int i = 0; i < requests; i++) {
             String id = idPrefix + i;
             idListener.accept(id);
-            sink.write(new SoakRequest(id, !large, "k" + i, TIMEOUT_SECONDS, large ? LARGE_BODY : "").text());
+            sink.write(
+                    new SoakRequest(id, !large, "k" + i, TIMEOUT_SECONDS, large ? SoakRequest.LARGE_BODY : "").text());
         }
     }
 }
--- a/src/main/java/laurelkeel/soak/DepartureCase.java
+++ b/src/main/java/laurelkeel/soak/DepartureCase.java
@@ -12,9 +12,18 @@
         this(node, script, signal, departure, false);
     }
 
+    /** Returns how attempts end, and the signal that the node gets. */
+    String attempts() {
+        return script + (signal.isEmpty() ? "" : "+" + signal);
+    }
+
+    /** Returns what the client does. */
+    String client() {
+        return departure + (returns ? " and returns" : "");
+    }
+
     @Override
     public String toString() {
-        return node + " " + script + (signal.isEmpty() ? "" : "+" + signal) + " " + departure
-                + (returns ? " and returns" : "");
+        return node + " " + attempts() + " " + client();
     }
 }
--- a/src/main/java/laurelkeel/soak/DepartureResult.java
+++ b/src/main/java/laurelkeel/soak/DepartureResult.java
@@ -71,11 +71,10 @@
     public String row() {
         return String.format(
                 Locale.ROOT,
-                "| %s | %s%s | %s | %s | %d | %d | %d | %d | %d | %.3f | %d |",
+                "| %s | %s | %s | %s | %d | %d | %d | %d | %d | %.3f | %d |",
                 departureCase.node(),
-                departureCase.script(),
-                departureCase.signal().isEmpty() ? "" : "+" + departureCase.signal(),
-                departureCase.departure() + (departureCase.returns() ? " and returns" : ""),
+                departureCase.attempts(),
+                departureCase.client(),
                 backlog,
                 requests,
                 attempts,
--- a/src/main/java/laurelkeel/soak/FloodKind.java
+++ b/src/main/java/laurelkeel/soak/FloodKind.java
@@ -27,7 +27,7 @@
         @Override
         void send(Socket socket, String name, RunClock clock) throws IOException {
             String request = largeRequest(name);
-            HttpText.write(socket, request.substring(0, request.length() - LARGE_BODY_BYTES / 2));
+            HttpText.write(socket, request.substring(0, request.length() - SoakRequest.LARGE_BODY.length() / 2));
         }
     },
     /** Clients that send several large requests at once. */
@@ -39,19 +39,21 @@
             }
         }
     },
-    /** Clients whose heads have as many short fields as fit, repeatedly. */
+    /** Clients whose heads have far more short fields than are allowed. */
     MANY_FIELDS(FloodBench.CROWD_CLIENTS, true) {
         @Override
-        void send(Socket socket, String name, RunClock clock) throws IOException, InterruptedException {
+        void send(Socket socket, String name, RunClock clock) throws IOException {
             HttpText.write(socket, "GET /look/" + name + " HTTP/1.1\r\n" + "a:b\r\n".repeat(MANY_FIELD_COUNT));
         }
     },
     /** Clients whose heads have just less fields than are allowed, and never end. */
     UNFINISHED_HEADS(FloodBench.CROWD_CLIENTS, true) {
         @Override
-        void send(Socket socket, String name, RunClock clock) throws IOException, InterruptedException {
+        void send(Socket socket, String name, RunClock clock) throws IOException {
             HttpText.write(
-                    socket, "GET /look/" + name + " HTTP/1.1\r\n" + ("a:" + "b".repeat(120) + "\r\n").repeat(60));
+                    socket,
+                    "GET /look/" + name + " HTTP/1.1\r\n"
+                            + ("a:" + "b".repeat(LONG_FIELD_BYTES) + "\r\n").repeat(ALLOWED_FIELD_COUNT));
         }
     },
     /** One client that sends valid requests at full speed, each with new names, and reads the responses. */
@@ -93,7 +95,7 @@
     HEALTH_CHECKS(1, true) {
         @Override
         String request(String name, int number) {
-            return "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+            return SoakRequest.HEALTH_CHECK;
         }
     },
     /** As {@link #HEALTH_CHECKS}, and the responses are never read. */
@@ -115,11 +117,12 @@
         }
     };
 
-    private static final int LARGE_BODY_BYTES = 60 << 10;
     private static final int PIECE_BYTES = 1 << 10;
     private static final int PIECE_MILLIS = 50;
     private static final int REQUESTS_OF_EACH = 8;
     private static final int MANY_FIELD_COUNT = 1_500;
+    private static final int ALLOWED_FIELD_COUNT = 60;
+    private static final int LONG_FIELD_BYTES = 120;
     private static final int REQUESTS_PER_WRITE = 64;
     private static final int PACED_REQUESTS = 3;
     private static final long PACE_NANOS = 50_000;
@@ -142,7 +145,7 @@
     }
 
     private static String largeRequest(String name) {
-        return new SoakRequest(name, false, "k" + name, 1, "b".repeat(LARGE_BODY_BYTES)).text();
+        return new SoakRequest(name, false, "k" + name, 1, SoakRequest.LARGE_BODY).text();
     }
 
     /** Returns one request of a client that sends at full speed. */
--- a/src/main/java/laurelkeel/soak/NodeProcess.java
+++ b/src/main/java/laurelkeel/soak/NodeProcess.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
@@ -25,6 +26,9 @@
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
 
+    private static final int READY_MILLIS = 10_000;
+    private static final int READY_POLL_MILLIS = 20;
+
     private final Process process;
     private final Path log;
     private final long startedNanos = System.nanoTime();
@@ -70,6 +74,21 @@
         }
     }
 
+    /**
+     * Waits until the node is ready.
+     *
+     * @param isReady whether it is
+     * @throws IOException with the log, if the process exits before or takes too long
+     */
+    void awaitReady(BooleanSupplier isReady) throws IOException, InterruptedException {
+        while (!isReady.getAsBoolean()) {
+            if (!isAlive() || ageMillis() > READY_MILLIS) {
+                throw new IOException("the node is not ready: " + log());
+            }
+            Thread.sleep(READY_POLL_MILLIS);
+        }
+    }
+
     /** Whether the process is running. */
     public boolean isAlive() {
         return process.isAlive();
--- a/src/main/java/laurelkeel/soak/ScaleBench.java
+++ b/src/main/java/laurelkeel/soak/ScaleBench.java
@@ -26,7 +26,6 @@
     /** The number of requests that one endpoint serves at a time at scale 1. */
     private static final int REFERENCE_CONCURRENCY = 16;
 
-    private static final int READY_MILLIS = 10_000;
     private static final int POLL_MILLIS = 20;
 
     private final ScaleProfile profile;
@@ -97,7 +96,7 @@
         int port = NodeProbe.freePort();
         NodeProcess node = startNode(image, port, discovery, control);
         try {
-            awaitReady(node, port);
+            node.awaitReady(() -> NodeProbe.isReady(port));
             AtomicInteger peakDescriptors = new AtomicInteger();
             Thread sampler = DaemonThreads.start("descriptors", () -> sampleDescriptors(node, peakDescriptors));
             SteadyLoad load = SteadyLoad.start(port, CLIENTS, profile.requestsPerSecond(), seconds, seed);
@@ -137,15 +136,6 @@
         return NodeProcess.start(image, file, folder.resolve("node.log"), Map.of(), MAX_DESCRIPTORS);
     }
 
-    private static void awaitReady(NodeProcess node, int port) throws IOException, InterruptedException {
-        while (!NodeProbe.isReady(port)) {
-            if (!node.isAlive() || node.ageMillis() > READY_MILLIS) {
-                throw new IOException("the node is not ready: " + node.log());
-            }
-            Thread.sleep(POLL_MILLIS);
-        }
-    }
-
     private static void sampleDescriptors(NodeProcess node, AtomicInteger peak) throws InterruptedException {
         while (node.isAlive()) {
             peak.accumulateAndGet(node.openDescriptors(), Math::max);
--- a/src/main/java/laurelkeel/soak/SingleNodeTestBed.java
+++ b/src/main/java/laurelkeel/soak/SingleNodeTestBed.java
@@ -11,8 +11,6 @@
 final class SingleNodeTestBed implements AutoCloseable {
     private static final int MEMORY_MEGABYTES = NodeController.MEMORY_MEGABYTES;
     private static final int MAX_DESCRIPTORS = 1_024;
-    private static final int READY_MILLIS = 10_000;
-    private static final int POLL_MILLIS = 20;
     private static final long SEED = 1;
 
     /** The settings of a standalone node; the argument is the port. */
@@ -61,7 +59,8 @@
             start(endpoint);
         }
         node = kind == NodeKind.SERVE ? startServe(image) : startStandalone();
-        awaitReady(kind);
+        // a standalone node has no health check at the address of its clients
+        node.awaitReady(() -> kind == NodeKind.SERVE ? NodeProbe.isReady(port) : NodeProbe.responds(port));
     }
 
     private <T extends TcpServer> T start(T server) {
@@ -108,16 +107,6 @@
                 NodeImage.standalone(file), file, folder.resolve("node.log"), Map.of(), MAX_DESCRIPTORS);
     }
 
-    private void awaitReady(NodeKind kind) throws IOException, InterruptedException {
-        // a standalone node has no health check at the address of its clients
-        while (!(kind == NodeKind.SERVE ? NodeProbe.isReady(port) : NodeProbe.responds(port))) {
-            if (!node.isAlive() || node.ageMillis() > READY_MILLIS) {
-                throw new IOException("the node is not ready: " + node.log());
-            }
-            Thread.sleep(POLL_MILLIS);
-        }
-    }
-
     RunClock clock() {
         return clock;
     }
--- a/src/main/java/laurelkeel/soak/SoakClient.java
+++ b/src/main/java/laurelkeel/soak/SoakClient.java
@@ -114,7 +114,7 @@
                 : MIN_TIMEOUT_SECONDS + TIMEOUT_SPREAD_SECONDS * random.nextDouble();
         auditor.requestSent(id, timeoutSeconds);
         PendingRequest pending = new PendingRequest(id, monitor.clock().seconds(), current);
-        try {
+        return reported(pending, () -> {
             current.sendRequest(SoakRequest.generate(random, id, timeoutSeconds).text());
             monitor.violations().count("requests");
             if (behavior == ClientBehavior.DISCONNECTS) {
@@ -124,9 +124,21 @@
                 return false;
             }
             if (behavior == ClientBehavior.HALF_CLOSES) {
-                current.shutdownOutput();
+                current.leave(ClientDeparture.HALF_CLOSE);
             }
             return awaitResponse(pending, timeoutSeconds) && behavior != ClientBehavior.HALF_CLOSES;
+        });
+    }
+
+    /** What a client does for one request; returns whether the connection stays open. */
+    private interface RequestStep {
+        boolean run() throws IOException, InterruptedException;
+    }
+
+    /** Runs a step and has its failure checked; returns whether the connection stays open. */
+    private boolean reported(PendingRequest pending, RequestStep step) throws InterruptedException {
+        try {
+            return step.run();
         } catch (SocketTimeoutException e) {
             responseChecker.timedOut(pending);
         } catch (ConnectionEndedException e) {
@@ -187,20 +199,9 @@
     }
 
     /** Reads the responses that a client that has only ended its output still gets. */
-    private void awaitResponses(List<PendingRequest> pending, double timeoutSeconds) {
+    private void awaitResponses(List<PendingRequest> pending, double timeoutSeconds) throws InterruptedException {
         for (PendingRequest request : pending) {
-            try {
-                if (!awaitResponse(request, timeoutSeconds)) {
-                    return;
-                }
-            } catch (SocketTimeoutException e) {
-                responseChecker.timedOut(request);
-                return;
-            } catch (ConnectionEndedException e) {
-                responseChecker.connectionEnded(request, Objects.requireNonNull(e.getMessage()));
-                return;
-            } catch (IOException e) {
-                responseChecker.connectionReset(request, String.valueOf(e.getMessage()));
+            if (!reported(request, () -> awaitResponse(request, timeoutSeconds))) {
                 return;
             }
         }
--- a/src/main/java/laurelkeel/soak/SoakConnection.java
+++ b/src/main/java/laurelkeel/soak/SoakConnection.java
@@ -61,11 +61,6 @@
         departure.leave(socket);
     }
 
-    /** Closes the sending direction; responses can still be read. */
-    void shutdownOutput() throws IOException {
-        socket.shutdownOutput();
-    }
-
     /**
      * Reads a response; returns null if the connection ended regularly before its first byte.
      *
--- a/src/main/java/laurelkeel/soak/SoakRequest.java
+++ b/src/main/java/laurelkeel/soak/SoakRequest.java
@@ -10,6 +10,12 @@
  * @param timeoutSeconds how long the client waits for the response
  */
 record SoakRequest(String id, boolean idempotent, String partitionKey, double timeoutSeconds, String body) {
+    /** A request for the health of a node. */
+    static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    /** A body of nearly the largest size that the platform allows. */
+    static final String LARGE_BODY = "b".repeat(60 << 10);
+
     private static final int MAX_BODY_LENGTH = 500;
     private static final int PARTITION_KEYS = 100;
 
--- a/src/main/java/laurelkeel/soak/SteadyLoad.java
+++ b/src/main/java/laurelkeel/soak/SteadyLoad.java
@@ -109,7 +109,6 @@
             try {
                 if (connection == null) {
                     connection = Connection.open(port);
-                    connection.socket.setSoTimeout(MAX_WAIT_MILLIS);
                 }
                 HttpText.write(connection.socket, nextRequest().text());
                 NodeResponse response = NodeResponse.read(connection.in);
@@ -145,6 +144,7 @@
             try {
                 socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
                 socket.setTcpNoDelay(true);
+                socket.setSoTimeout(MAX_WAIT_MILLIS);
                 return new Connection(socket, new BufferedInputStream(socket.getInputStream()));
             } catch (IOException e) {
                 socket.close();
--- a/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
+++ b/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
@@ -14,7 +14,8 @@
  * the check, a late surplus response could be mistaken for the response to the new request, and a request could be lost on a
  * connection that the peer has already closed.
  *
- * <p>It tells the {@link InputListener} of a session what its reads find, and provides a {@link SocketInput} for each session, so that a decoder can look behind the end of a full read buffer.
+ * <p>It tells the {@link InputListener} of a session what its reads find, and provides a {@link SocketInput} for each session,
+ * so that a decoder can look behind the end of a full read buffer.
  */
 public final class UnexpectedInputProcessor extends NioProcessor {
     private static final int READ_AHEAD_BYTES = 64;
