--- a/review/peers/src/reviewpeers/FrontNode.java
+++ b/review/peers/src/reviewpeers/FrontNode.java
@@ -96,6 +96,10 @@
         record.line("front node started, pid %d", process.pid());
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process != null && process.isAlive();
     }
