--- a/review/peers/src/reviewpeers/Discovery.java
+++ b/review/peers/src/reviewpeers/Discovery.java
@@ -41,6 +41,17 @@
         answerDelayMillis = millis;
     }
 
+    /** As an old address after SIGHUP: accepts no new connection and closes the open ones after 1.5 s. */
+    void retire() throws IOException {
+        listener.close();
+        thread("retire", () -> {
+            Thread.sleep(1_500);
+            for (Socket connection : connections) {
+                connection.close();
+            }
+        });
+    }
+
     synchronized String list() {
         return json(version, true, entries, indented);
     }
--- a/review/peers/src/reviewpeers/FrontNode.java
+++ b/review/peers/src/reviewpeers/FrontNode.java
@@ -42,6 +42,8 @@
     private final Path folder;
     private final Record record;
     private final int port;
+    private String news = "";
+    private String known = "";
     private volatile Process process;
     private volatile double startedAt;
 
@@ -71,12 +73,9 @@
      * @param known the list that the node last had, as JSON
      */
     void start(String discovery, String control, String news, String known) throws IOException {
-        String[] state = news.split(" ");
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"rollouts\":{\"address\":\""
-                + control + "\",\"news\":{\"build\":" + state[0] + ",\"stage\":" + state[1] + ",\"phase\":\"" + state[2] + "\",\"cap\":"
-                + state[3] + ",\"age_ms\":60000}},\"known\":" + known + ",\"settings\":" + SETTINGS + "}");
+        this.news = news;
+        this.known = known;
+        configure(discovery, control);
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(root.resolve("deploy/balancer.toml")));
         if (!run.find()) {
             throw new IOException("deploy/balancer.toml has no run line");
@@ -86,7 +85,7 @@
         builder.environment().put("RELAY_NAME", "n0");
         builder.environment().put("RELAY_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("RELAY_DISCOVERY", discovery);
-        builder.environment().put("RELAY_CONFIG", file.toString());
+        builder.environment().put("RELAY_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("TMPDIR", folder.toString());
         Path log = folder.resolve("node.log");
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
@@ -96,8 +95,14 @@
         record.line("front node started, pid %d", process.pid());
     }
 
-    long pid() {
-        return process.pid();
+    /** Writes the configuration with these addresses. */
+    void configure(String discovery, String control) throws IOException {
+        String[] state = news.split(" ");
+        Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
+                + "\"memory_mb\":192,\"sockets\":1024},\"rollouts\":{\"address\":\"" + control + "\",\"news\":{\"build\":" + state[0]
+                + ",\"stage\":" + state[1] + ",\"phase\":\"" + state[2] + "\",\"cap\":" + state[3]
+                + ",\"age_ms\":60000}},\"known\":" + known + ",\"settings\":" + SETTINGS + "}");
     }
 
     boolean isAlive() {
