--- a/review/peers/src/reviewpeers/LateRepeatCase.java
+++ b/review/peers/src/reviewpeers/LateRepeatCase.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
@@ -20,7 +21,8 @@
  */
 final class LateRepeatCase extends Case {
     private static final int TRIALS = 8;
-    private static final int CONNECTIONS = 3;
+    /** What is left for one of 100 front nodes of the 400 connections that a machine of one core holds. */
+    private static final int CONNECTIONS = 4;
     private static final int LOOKUP_MILLIS = 300;
     private static final int CHANGE_MILLIS = 450;
     private static final double FAILS_AFTER_SECONDS = 4.880;
@@ -55,12 +57,15 @@
         for (int round = 0; round < 4; round++) {
             burst(2 * CONNECTIONS, "lookup", "w" + round + "-");
         }
-        for (Small machine : machines) {
-            machine.stopAccepting();
-        }
         for (int round = 0; round < 10; round++) {
             burst(2 * CONNECTIONS - 1, "change", "v" + round + "-");
         }
+        for (int round = 0; round < 4; round++) {
+            burst(2 * CONNECTIONS, "lookup", "x" + round + "-");
+        }
+        for (Small machine : machines) {
+            machine.stopAccepting();
+        }
         for (int trial = 0; trial < TRIALS; trial++) {
             trial("t" + trial);
         }
@@ -114,6 +119,7 @@
     private final class Small {
         private final String id;
         private final ServerSocket listener = new ServerSocket();
+        private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
         private volatile boolean accepting = true;
 
         Small(String id) throws IOException {
@@ -125,6 +131,7 @@
                     try {
                         Socket socket = listener.accept();
                         socket.setTcpNoDelay(true);
+                        connections.add(socket);
                         Peer.thread("serve", () -> serve(socket));
                     } catch (java.net.SocketTimeoutException none) {
                         // looks whether to accept on
@@ -137,6 +144,12 @@
         void stopAccepting() throws Exception {
             accepting = false;
             Thread.sleep(150);
+            for (Socket surplus : connections.stream().skip(CONNECTIONS).toList()) {
+                surplus.close();
+            }
+            Thread.sleep(150);
+            record.line("machine %s holds %d connections of the node and no more", id, connections.size());
+            require(connections.size() == CONNECTIONS, "machine " + id + " has " + connections.size() + " connections");
             for (int i = 0; i < 4; i++) {
                 SocketChannel filler = SocketChannel.open();
                 filler.configureBlocking(false);
@@ -147,6 +160,7 @@
 
         private void serve(Socket socket) throws Exception {
             try (socket) {
+                socket.setTcpNoDelay(true);
                 InputStream in = socket.getInputStream();
                 for (Http.Message request = Http.read(in); request != null; request = Http.read(in)) {
                     String correlationId = request.header("x-correlation-id");
@@ -173,6 +187,8 @@
                         Peer.write(socket, Machine.ok(correlationId));
                     }
                 }
+            } finally {
+                connections.remove(socket);
             }
         }
     }
