Ask again at the instant of writing whether an attempt may still be sent

An attempt at a bad machine failed 4.88 s after it began, the repeat was decided in time (the machines drop repeats for 5 s), waited up to 250 ms for a connection and arrived after 5.10 s.

Cause: the decision owned the choice of the endpoint, but nobody owned the instant of writing. AttemptDispatcher asked again only for client, deadline, drain and cap (front: not even for the last two), never for the mark's lifetime or the key's binding, and the I/O thread that writes did not look at the clock.

Change: Decider.mayWrite answers, when a connection is available, whether the attempt may be written and until when: drain and restart of the endpoint, serving build and cap, the key's binding, the time for which repeats are recognized. PartitionedDecider adds what all partitions together know, so that front asks the same. The I/O thread keeps to the time limit and to the client's deadline right before the first byte.

--- a/src/main/java/laurelkeel/api/Decider.java
+++ b/src/main/java/laurelkeel/api/Decider.java
@@ -17,6 +17,17 @@
      */
     List<Action> decide(long nowTicks, List<Event> events);
 
+    /**
+     * Returns whether an attempt that this decider has sent may be written now. Asked when a connection for it is available,
+     * which may be long after the {@link Action.SendAttempt}. An attempt that is refused ends as NOT_SENT.
+     *
+     * @param attempt the attempt's number among those of its request
+     * @param nowTicks the current time, on the clock of {@link #decide}
+     */
+    default WritePermission mayWrite(String requestId, int attempt, long nowTicks) {
+        return WritePermission.UNLIMITED;
+    }
+
     /** Creates the decider of a front node when the node starts. */
     interface Factory {
         /**
--- a/src/main/java/laurelkeel/decision/BuildRouter.java
+++ b/src/main/java/laurelkeel/decision/BuildRouter.java
@@ -1,6 +1,7 @@
 package laurelkeel.decision;
 
 import laurelkeel.api.Event.AttemptOutcome;
+import laurelkeel.api.WritePermission.Refusal;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,6 +56,30 @@
         return endpoint;
     }
 
+    /**
+     * Returns why an attempt in flight must not be written to its endpoint, although the endpoint could be chosen when the
+     * attempt was planned; null if it may be written.
+     */
+    @Nullable
+    Refusal refusalToWrite(ActiveRequest request, Endpoint endpoint, long nowTicks) {
+        if (!endpoint.isActive()) {
+            return Refusal.ENDPOINT_INACTIVE;
+        }
+        String key = request.partitionKey();
+        int build = endpoint.build();
+        if (key != null && build < stickyKeys.oldestAllowedBuild(key)) {
+            return Refusal.KEY_BOUND_TO_LATER_BUILD;
+        }
+        boolean isServing =
+                build == rollout.stableBuild() || (isCanary(endpoint) && mayStillExpose(request, build, nowTicks));
+        return isServing ? null : Refusal.BUILD_NOT_SERVING;
+    }
+
+    private boolean mayStillExpose(ActiveRequest request, int build, long nowTicks) {
+        return rollout.mayExpose(request.route().idempotency())
+                && exposure.isWithinCap(build, request.routeIndex(), rollout.exposureCap(), nowTicks);
+    }
+
     /** Counts a request received; the canary's exposure cap is a share of these. */
     void requestReceived(int route, long nowTicks) {
         exposure.requestReceived(route, nowTicks);
--- a/src/main/java/laurelkeel/decision/EndpointRegistry.java
+++ b/src/main/java/laurelkeel/decision/EndpointRegistry.java
@@ -61,6 +61,9 @@
         Endpoint endpoint = endpointsById.get(entry.endpointId());
         // the statistics of an id do not apply to another process that now has the same id
         if (endpoint == null || !endpoint.isSameProcess(entry)) {
+            if (endpoint != null) {
+                endpoint.setActive(false);
+            }
             endpoint = new Endpoint(entry, crossZonePenaltyRequests(entry));
             endpointsById.put(endpoint.id(), endpoint);
             endpoint.warmUpBudget().renewRounding(random, settings.limits().overloadWindowTicks(), nowTicks);
--- a/src/main/java/laurelkeel/decision/ExposureLimiter.java
+++ b/src/main/java/laurelkeel/decision/ExposureLimiter.java
@@ -56,12 +56,28 @@
      * @param isSticky whether the request's key is bound to the build
      */
     boolean allows(int build, int route, double exposureCap, boolean isSticky, long nowTicks) {
-        long windowTicks = settings.exposureWindowTicks();
-        int attempts = attempts(build, route).countSince(nowTicks - windowTicks - WINDOW_MARGIN_TICKS);
-        int requests = received.get(windowIndex(route)).countSince(nowTicks - windowTicks + WINDOW_MARGIN_TICKS);
-        double quota = exposureCap * requests;
+        double quota = quota(route, exposureCap, nowTicks);
         double reserve = isSticky ? 0 : STICKY_KEY_RESERVE * quota;
-        return attempts + 1 + reserve <= settings.exposureAllowance() + quota;
+        return countAttempts(build, route, nowTicks) + 1 + reserve <= settings.exposureAllowance() + quota;
+    }
+
+    /**
+     * Returns whether the attempts counted so far are within the cap, which may have fallen since.
+     *
+     * @param exposureCap share of the requests that the build may receive, from 0 to 1
+     */
+    boolean isWithinCap(int build, int route, double exposureCap, long nowTicks) {
+        return countAttempts(build, route, nowTicks)
+                <= settings.exposureAllowance() + quota(route, exposureCap, nowTicks);
+    }
+
+    private int countAttempts(int build, int route, long nowTicks) {
+        return attempts(build, route).countSince(nowTicks - settings.exposureWindowTicks() - WINDOW_MARGIN_TICKS);
+    }
+
+    private double quota(int route, double exposureCap, long nowTicks) {
+        long fromTicks = nowTicks - settings.exposureWindowTicks() + WINDOW_MARGIN_TICKS;
+        return exposureCap * received.get(windowIndex(route)).countSince(fromTicks);
     }
 
     /** Discards timestamps that are outside the window. */
--- a/src/main/java/laurelkeel/decision/RequestLifecycle.java
+++ b/src/main/java/laurelkeel/decision/RequestLifecycle.java
@@ -6,6 +6,8 @@
 import laurelkeel.api.Event.AttemptOutcome;
 import laurelkeel.api.Event.RequestReceived;
 import laurelkeel.api.Settings;
+import laurelkeel.api.WritePermission;
+import laurelkeel.api.WritePermission.Refusal;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -100,6 +102,23 @@
         }
     }
 
+    /** Asks again, when an attempt is about to be written, what was asked when its endpoint was chosen. */
+    WritePermission mayWrite(String requestId, int attemptNumber, long nowTicks) {
+        ActiveRequest request = requests.find(requestId);
+        Attempt attempt = request == null ? null : request.attemptInFlight();
+        if (request == null || attempt == null || attempt.number() != attemptNumber || request.isFinished()) {
+            return WritePermission.refused(Refusal.ATTEMPT_ENDED);
+        }
+        Refusal refusal = router.refusalToWrite(request, attempt.endpoint(), nowTicks);
+        if (refusal != null) {
+            return WritePermission.refused(refusal);
+        }
+        long latestTicks = retryPolicy.latestWriteTicks(request);
+        return nowTicks <= latestTicks
+                ? WritePermission.until(latestTicks)
+                : WritePermission.refused(Refusal.REPEAT_NOT_RECOGNIZED);
+    }
+
     private void scheduleAt(ActiveRequest request, long atTicks, long nowTicks) {
         scheduledChecks.add(request, Math.max(atTicks, nowTicks + 1));
     }
--- a/src/main/java/laurelkeel/decision/RetryPolicy.java
+++ b/src/main/java/laurelkeel/decision/RetryPolicy.java
@@ -16,6 +16,12 @@
     /** A repeat sent this close to the end of the deduplication window could arrive after the window. */
     private static final long DEDUPLICATION_MARGIN_TICKS = Ticks.PER_SECOND / 10;
 
+    /** The result of {@link #latestWriteTicks} for attempts without a limit. */
+    static final long ALWAYS = Long.MAX_VALUE;
+
+    /** The result of {@link #latestWriteTicks} for attempts that must not be written. */
+    static final long NEVER = Long.MIN_VALUE;
+
     private final int maxAttempts;
 
     /** @param maxAttempts maximum number of attempts per request, including the first */
@@ -25,16 +31,23 @@
 
     /** Returns whether another attempt may be sent, to an endpoint for which {@link #isSafeForRetry} holds. */
     boolean mayAttempt(ActiveRequest request, long nowTicks) {
-        if (request.attemptCount() >= maxAttempts) {
-            return false;
-        }
+        return request.attemptCount() < maxAttempts && nowTicks <= latestWriteTicks(request);
+    }
+
+    /**
+     * Returns the last tick at which an attempt of a request may be written: {@link #ALWAYS} or {@link #NEVER}, unless endpoints
+     * recognize it as a repeat for a limited time.
+     */
+    long latestWriteTicks(ActiveRequest request) {
         Attempt first = request.firstPossibleRun();
-        return first == null
-                || switch (request.route().idempotency()) {
-                    case IDEMPOTENT -> true;
-                    case DEDUPLICATED -> isWithinDeduplicationWindow(first, request.route(), nowTicks);
-                    case NOT_IDEMPOTENT -> false;
-                };
+        if (first == null) {
+            return ALWAYS;
+        }
+        return switch (request.route().idempotency()) {
+            case IDEMPOTENT -> ALWAYS;
+            case DEDUPLICATED -> latestRepeatTicks(first, request.route());
+            case NOT_IDEMPOTENT -> NEVER;
+        };
     }
 
     /** Returns whether another attempt may follow the next one, regardless of the outcome of the next one. */
@@ -68,7 +81,7 @@
         }
         return route.idempotency() == Idempotency.DEDUPLICATED
                 && route.deduplicationScope() == DeduplicationScope.ALL
-                && isWithinDeduplicationWindow(first, route, nowTicks);
+                && nowTicks <= latestRepeatTicks(first, route);
     }
 
     private static @Nullable Attempt firstPossibleRunOrInFlight(ActiveRequest request) {
@@ -76,7 +89,8 @@
         return first == null ? request.attemptInFlight() : first;
     }
 
-    private static boolean isWithinDeduplicationWindow(Attempt first, Route route, long nowTicks) {
-        return nowTicks + DEDUPLICATION_MARGIN_TICKS < first.sentAtTicks() + route.deduplicationWindowTicks();
+    /** Returns the last tick at which a repeat may be written so that it arrives while endpoints remember the first attempt. */
+    private static long latestRepeatTicks(Attempt first, Route route) {
+        return first.sentAtTicks() + route.deduplicationWindowTicks() - DEDUPLICATION_MARGIN_TICKS - 1;
     }
 }
--- a/src/main/java/laurelkeel/decision/RoutingDecider.java
+++ b/src/main/java/laurelkeel/decision/RoutingDecider.java
@@ -16,6 +16,7 @@
 import laurelkeel.api.Event.TimerFired;
 import laurelkeel.api.Settings;
 import laurelkeel.api.Ticks;
+import laurelkeel.api.WritePermission;
 
 /**
  * Makes all decisions of one front node: where each request is sent, when it is retried, rejected or failed, and how
@@ -109,6 +110,11 @@
         return List.copyOf(actions);
     }
 
+    @Override
+    public WritePermission mayWrite(String requestId, int attempt, long nowTicks) {
+        return requests.mayWrite(requestId, attempt, nowTicks);
+    }
+
     private void handle(Event event, long nowTicks) {
         if (event instanceof RequestReceived received) {
             requests.requestReceived(received, nowTicks);
--- a/src/main/java/laurelkeel/front/AttemptDispatcher.java
+++ b/src/main/java/laurelkeel/front/AttemptDispatcher.java
@@ -10,7 +10,6 @@
 import laurelkeel.front.ingress.EnumCounts;
 import laurelkeel.front.upstream.EndpointResponse;
 import laurelkeel.front.upstream.Exchange;
-import laurelkeel.front.upstream.OutgoingRequest;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -90,35 +89,6 @@
         endUnsent(request, attempt);
     }
 
-    /** The message of an attempt to its endpoint. */
-    private final class AttemptMessage implements OutgoingRequest {
-        private final AcceptedRequest request;
-        private final DispatchedAttempt attempt;
-        private final long deadlineTicks;
-
-        AttemptMessage(AcceptedRequest request, DispatchedAttempt attempt, long deadlineTicks) {
-            this.request = request;
-            this.attempt = attempt;
-            this.deadlineTicks = deadlineTicks;
-        }
-
-        @Override
-        public byte @Nullable [] createMessage() {
-            return assembleMessage(request, attempt, deadlineTicks);
-        }
-
-        @Override
-        public boolean isHeadRequest() {
-            return request.clientRequest().headRequest();
-        }
-
-        /** The I/O thread may have read the end of the client's connection since the event loop built the message. */
-        @Override
-        public boolean mayBeWritten() {
-            return request.connection().clientState() != ClientState.ENDED;
-        }
-    }
-
     private long attemptDeadline(AcceptedRequest request, long timeoutTicks) {
         if (timeoutTicks == 0) {
             return request.deadlineTicks();
@@ -133,7 +103,7 @@
                     .pools()
                     .startExchange(
                             components.services().addressOf(attempt.endpointId()),
-                            new AttemptMessage(request, attempt, deadlineTicks),
+                            new AttemptMessage(components, request, attempt, deadlineTicks),
                             (outcome, response) -> onEnded(request, attempt, outcome, response));
             attempt.setExchange(exchange);
         } catch (RuntimeException e) {
@@ -157,37 +127,6 @@
         responses.removeIfFinished(request);
     }
 
-    /**
-     * Assembles the message for the endpoint when it is about to be written, since its headers state the remaining
-     * time.
-     *
-     * @return null if the attempt must not be sent any more, because it had to wait for a connection or its client has left
-     */
-    private byte @Nullable [] assembleMessage(
-            AcceptedRequest request, DispatchedAttempt attempt, long attemptDeadlineTicks) {
-        long now = loop.nowTicks();
-        boolean waited = now > attempt.startedAtTicks();
-        boolean connected = request.connection().clientState() == ClientState.CONNECTED;
-        if (!connected || (waited && !mayStillSend(request, attempt))) {
-            return null;
-        }
-        components
-                .protocol()
-                .writeAttemptHeaders(
-                        components.messageBuilder(),
-                        attempt.endpointId(),
-                        attempt.number(),
-                        request.deadlineTicks() - now,
-                        attemptDeadlineTicks - now);
-        return request.clientRequest().forwarded().assemble(components.messageBuilder(), true);
-    }
-
-    private boolean mayStillSend(AcceptedRequest request, DispatchedAttempt attempt) {
-        return !request.isAnswered()
-                && !request.isExpired(loop.nowTicks())
-                && components.services().mayStillSend(attempt.endpointId(), attempt.startedAtTicks());
-    }
-
     /** Carries out {@link Action.CancelAttempt}; ignored if the attempt is unknown or has ended. */
     void cancel(Action.CancelAttempt action) {
         AcceptedRequest request = requests.get(action.requestId());
--- a/src/main/java/laurelkeel/partition/PartitionedDecider.java
+++ b/src/main/java/laurelkeel/partition/PartitionedDecider.java
@@ -13,6 +13,8 @@
 import laurelkeel.api.Event.RolloutUpdate;
 import laurelkeel.api.LoadReport;
 import laurelkeel.api.Settings;
+import laurelkeel.api.WritePermission;
+import laurelkeel.api.WritePermission.Refusal;
 
 /**
  * Runs several concurrent rollouts behind one front node: divides the requests into partitions, one for each rollout,
@@ -112,6 +114,30 @@
         return List.copyOf(actions);
     }
 
+    @Override
+    public WritePermission mayWrite(String requestId, int attempt, long nowTicks) {
+        OwnedRequest request = requests.find(requestId);
+        if (request == null) {
+            return partitions.first().mayWrite(requestId, attempt, nowTicks);
+        }
+        TrafficPartition partition = request.partition();
+        int build = request.lastAttemptBuild();
+        if (isServedByLaterBuild(request, build, partition)) {
+            return WritePermission.refused(Refusal.KEY_BOUND_TO_LATER_BUILD);
+        }
+        if (rollouts.isRolledBack(build) || exceedsSharedCap(request, build, nowTicks)) {
+            return WritePermission.refused(Refusal.BUILD_NOT_SERVING);
+        }
+        return partition.mayWrite(requestId, request.toPartitionAttempt(attempt), nowTicks);
+    }
+
+    private boolean exceedsSharedCap(OwnedRequest request, int build, long nowTicks) {
+        OptionalDouble cap = rollouts.exposureCap(build);
+        return cap.isPresent()
+                && !partitions.isSingle()
+                && !exposureLimiter.isWithinCap(build, request.route(), cap.getAsDouble(), nowTicks);
+    }
+
     private void runDecider(TrafficPartition partition) {
         announceCap(partition);
         do {
--- a/src/main/java/laurelkeel/partition/SharedExposureLimiter.java
+++ b/src/main/java/laurelkeel/partition/SharedExposureLimiter.java
@@ -55,6 +55,16 @@
         return true;
     }
 
+    /**
+     * Returns whether the attempts counted so far are within the cap, which may have fallen since.
+     *
+     * @param cap the maximum share of all requests that the build may receive, from 0 to 1
+     */
+    boolean isWithinCap(int build, int route, double cap, long nowTicks) {
+        ExposureWindow attempts = attemptsByBuild.get(build);
+        return attempts == null || attempts.count(route, nowTicks) <= permittedAttempts(route, cap, nowTicks);
+    }
+
     private double permittedAttempts(int route, double cap, long nowTicks) {
         return settings.rollout().exposureAllowance() + cap * allRequests.count(route, nowTicks);
     }
--- a/src/main/java/laurelkeel/partition/TrafficPartition.java
+++ b/src/main/java/laurelkeel/partition/TrafficPartition.java
@@ -14,6 +14,7 @@
 import laurelkeel.api.Event.EndpointListKind;
 import laurelkeel.api.Event.RolloutPhase;
 import laurelkeel.api.Event.RolloutUpdate;
+import laurelkeel.api.WritePermission;
 
 /**
  * One share of the requests, with the decider that makes all decisions for it and the information that this decider has
@@ -126,6 +127,11 @@
         return decider.decide(nowTicks, events);
     }
 
+    /** Asks the decider whether an attempt, numbered within this partition, may be written now. */
+    WritePermission mayWrite(String requestId, int attempt, long nowTicks) {
+        return decider.mayWrite(requestId, attempt, nowTicks);
+    }
+
     /** Queues an update of this partition's rollout, or of a rollout that ends it. */
     void enqueueRolloutUpdate(RolloutUpdate update) {
         announcedCap = Double.NaN;
--- a/src/test/java/laurelkeel/decision/DecisionSimulation.java
+++ b/src/test/java/laurelkeel/decision/DecisionSimulation.java
@@ -21,6 +21,8 @@
 import laurelkeel.api.Settings.Idempotency;
 import laurelkeel.api.Settings.Route;
 import laurelkeel.api.Ticks;
+import laurelkeel.api.WritePermission;
+import laurelkeel.api.WritePermission.Refusal;
 import laurelkeel.partition.PartitionedDecider;
 import org.jspecify.annotations.Nullable;
 
@@ -200,6 +202,45 @@
                 LoadReport.NONE);
     }
 
+    /**
+     * Asks whether an attempt in flight, which had to wait for a connection, may be written now, and checks a permission.
+     *
+     * @return the reason if it must not be written; null if it may be
+     */
+    @Nullable
+    Refusal refusalToWrite(SentAttempt attempt) {
+        WritePermission permission = decider.mayWrite(attempt.requestId, attempt.attempt, nowTicks);
+        if (permission.isGranted()) {
+            checkWrite(attempt, permission.latestTicks());
+        }
+        return permission.refusal();
+    }
+
+    private void checkWrite(SentAttempt attempt, long latestTicks) {
+        check(
+                RULE_DRAINING,
+                !inactiveSinceTicks.containsKey(attempt.endpointId),
+                "written to a draining or removed endpoint");
+        Route route = settings.routes().get(routeByRequest.get(attempt.requestId));
+        SentAttempt first = firstPossibleRun(attempt.requestId);
+        boolean isRepeat = first != null && !first.equals(attempt) && route.idempotency() == Idempotency.DEDUPLICATED;
+        check(
+                RULE_ONE_EFFECT,
+                !isRepeat
+                        || (isInWindow(first, route)
+                                && latestTicks <= first.sentAtTicks + route.deduplicationWindowTicks()),
+                "a repeat was written outside its window");
+        String key = keyByRequest.get(attempt.requestId);
+        check(
+                RULE_EXPOSURE,
+                key == null || attempt.build >= servedBy.getOrDefault(key, 0),
+                "an attempt of a sticky key was written to an older build");
+        check(
+                RULE_EXPOSURE,
+                !isCanary(attempt.build) || exposureCap(attempt.build) > 0,
+                "an attempt was written to a build that has no share");
+    }
+
     void disconnect(String requestId) {
         unanswered.remove(requestId);
         decide(List.of(new Event.ClientDisconnected(requestId)));
--- a/src/test/java/laurelkeel/decision/RequestRulesTest.java
+++ b/src/test/java/laurelkeel/decision/RequestRulesTest.java
@@ -60,6 +60,7 @@
         simulation.start(6);
         RolloutScript rollouts = new RolloutScript(simulation, isPartitioned ? 3 : 1, random);
         for (int i = 0; i < 1200; i++) {
+            simulation.inFlight.forEach(simulation::refusalToWrite);
             int roll = random.nextInt(100);
             if (roll < 50) {
                 simulation.request(random.nextInt(3), random.nextInt(5) == 0 ? null : "k" + random.nextInt(60));
--- a/src/test/java/laurelkeel/platform/PlatformTestBed.java
+++ b/src/test/java/laurelkeel/platform/PlatformTestBed.java
@@ -19,9 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import laurelkeel.api.Action;
 import laurelkeel.api.Action.Verdict;
+import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
 import laurelkeel.front.FrontNode;
 import laurelkeel.front.FrontTestPeers;
@@ -154,12 +156,24 @@
             LongSupplier clockTicks,
             BiFunction<PlatformTestBed, Event, List<Action>> decide)
             throws Exception {
+        this(
+                maxSockets,
+                voteTimeoutMillis,
+                clockTicks,
+                (testBed) -> (settings, seed) ->
+                        FrontTestPeers.decider(testBed.events, event -> decide.apply(testBed, event)));
+    }
+
+    /** Creates a test bed whose node has a decider of the given kind. */
+    PlatformTestBed(
+            int maxSockets,
+            int voteTimeoutMillis,
+            LongSupplier clockTicks,
+            Function<PlatformTestBed, Decider.Factory> deciders)
+            throws Exception {
         this.maxSockets = maxSockets;
         this.voteTimeoutMillis = voteTimeoutMillis;
-        node = PlatformNode.create(
-                configuration(discovery, controlService),
-                (settings, seed) -> FrontTestPeers.decider(events, event -> decide.apply(this, event)),
-                clockTicks);
+        node = PlatformNode.create(configuration(discovery, controlService), deciders.apply(this), clockTicks);
         front = node.frontNode();
         port = front.start().getPort();
     }
--- a/src/test/java/laurelkeel/platform/QueuedAttemptTest.java
+++ b/src/test/java/laurelkeel/platform/QueuedAttemptTest.java
@@ -13,9 +13,17 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
 import laurelkeel.api.Action;
+import laurelkeel.api.Decider;
 import laurelkeel.api.Event;
 import laurelkeel.api.Event.AttemptOutcome;
+import laurelkeel.api.Ticks;
+import laurelkeel.api.WritePermission;
+import laurelkeel.api.WritePermission.Refusal;
+import laurelkeel.front.FrontTestPeers;
 import org.junit.jupiter.api.Test;
 
 /** Attempts that are queued until a connection to an endpoint may be opened. */
@@ -150,4 +158,64 @@
             }
         }
     }
+
+    /** Guards against attempts that wait for a connection and are written although the decider would not send them any more. */
+    @Test
+    void anAttemptThatHasWaitedIsNotWrittenIfTheDeciderNoLongerPermitsIt() throws Exception {
+        AtomicReference<WritePermission> permission = new AtomicReference<>(WritePermission.UNLIMITED);
+        try (PlatformTestBed testBed = permittingTestBed(clock, nowTicks -> permission.get())) {
+            List<Socket> occupied = occupyAllConnections(testBed);
+            for (String id : List.of("first", "second")) {
+                send(testBed.connectClient(), getRequest(id, ""));
+            }
+            testBed.awaitEvent(Event.RequestReceived.class, MAX_CONNECTIONS + 2);
+            permission.set(WritePermission.refused(Refusal.REPEAT_NOT_RECOGNIZED));
+            send(occupied.get(0), okResponse("x"));
+            testBed.awaitEvent(Event.AttemptEnded.class, 3);
+            assertEquals(
+                    2,
+                    testBed.eventsOf(Event.AttemptEnded.class).stream()
+                            .filter(attempt -> attempt.outcome() == AttemptOutcome.NOT_SENT)
+                            .count());
+            assertEquals(0, occupied.get(0).getInputStream().available());
+        }
+    }
+
+    /** Guards against an I/O thread that is held up and then writes an attempt whose time to be written has passed. */
+    @Test
+    void anIoThreadThatIsHeldUpDoesNotWriteAnAttemptAfterItsTime() throws Exception {
+        Thread creator = Thread.currentThread();
+        LongSupplier heldUpOnIoThreads = () -> {
+            Thread thread = Thread.currentThread();
+            boolean isEventLoop = thread.equals(creator) || thread.getName().startsWith("front-");
+            return clock.getAsLong() + (isEventLoop ? 0 : 2 * Ticks.PER_SECOND);
+        };
+        LongFunction<WritePermission> forOneSecond = nowTicks -> WritePermission.until(nowTicks + Ticks.PER_SECOND);
+        try (PlatformTestBed testBed = permittingTestBed(heldUpOnIoThreads, forOneSecond)) {
+            send(testBed.connectClient(), getRequest("late", ""));
+            assertEquals("<end>", receive(testBed.endpoint.nextConnection()));
+            assertEquals(
+                    AttemptOutcome.CONNECT_FAILED,
+                    testBed.awaitEvent(Event.AttemptEnded.class, 1).outcome());
+        }
+    }
+
+    /** Creates a node whose decider sends each request to the endpoint and permits writes by the given function of the time. */
+    private static PlatformTestBed permittingTestBed(LongSupplier clock, LongFunction<WritePermission> permissions)
+            throws Exception {
+        return new PlatformTestBed(SMALL_MAX_SOCKETS, 5000, clock, testBed -> (settings, seed) -> {
+            Decider decider = FrontTestPeers.decider(testBed.events, event -> sendTo("s-1", event));
+            return new Decider() {
+                @Override
+                public List<Action> decide(long nowTicks, List<Event> events) {
+                    return decider.decide(nowTicks, events);
+                }
+
+                @Override
+                public WritePermission mayWrite(String requestId, int attempt, long nowTicks) {
+                    return permissions.apply(nowTicks);
+                }
+            };
+        });
+    }
 }
