Judge a response the same way however its bytes are split into reads

Cause: only what had been read together with the stated end could deny it, so the verdict hung on how the bytes were split: head and body in one read made the response unreadable, in two reads it was served. The same split also decided whether an error or a rejection with surplus behind it counted as such.

Change, for serve and front: - The platform serves '200 and a body': 200 without a body is no answer, whatever follows and however late (serve). - front serves empty bodies, so one that the head alone states is held until its connection ends or nothing has followed for 10 ms. HEAD, 204 and 304 end with their head and are not held. - Only a body that would be passed on can be in doubt; the outcome of any other response hangs on its head alone. - The look at what has arrived behind the end is no longer for full read buffers only. - A second copy that is read later is recognized like one that is read with the response, and no longer ends an exchange that has not been written yet.

--- a/src/main/java/laurelkeel/front/upstream/EndpointConnection.java
+++ b/src/main/java/laurelkeel/front/upstream/EndpointConnection.java
@@ -1,5 +1,6 @@
 package laurelkeel.front.upstream;
 
+import laurelkeel.eventloop.EventLoop;
 import laurelkeel.wire.HttpCodec;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
@@ -20,6 +21,11 @@
     /** Null while the connection is idle. */
     private @Nullable Exchange exchange;
 
+    /** The response to the exchange in progress while its end awaits confirmation; otherwise null. */
+    private @Nullable EndpointResponse heldResponse;
+
+    private EventLoop.@Nullable ScheduledTask confirmationTimer;
+
     private long writtenBytesBeforeExchange;
     private long idleSinceTicks;
     private boolean used;
@@ -103,6 +109,24 @@
         return session.getWrittenBytes() != writtenBytesBeforeExchange;
     }
 
+    /** Keeps the response to the exchange in progress until it is taken; the timer is cancelled then. */
+    void holdResponse(EndpointResponse response, EventLoop.ScheduledTask timer) {
+        heldResponse = response;
+        confirmationTimer = timer;
+    }
+
+    /** Removes and returns the response that awaits confirmation; null if there is none. */
+    @Nullable
+    EndpointResponse takeHeldResponse() {
+        EndpointResponse taken = heldResponse;
+        heldResponse = null;
+        if (confirmationTimer != null) {
+            confirmationTimer.cancel();
+            confirmationTimer = null;
+        }
+        return taken;
+    }
+
     /** Removes and returns the exchange in progress; null if there is none. */
     @Nullable
     Exchange takeExchange() {
--- a/src/main/java/laurelkeel/front/upstream/EndpointIoHandler.java
+++ b/src/main/java/laurelkeel/front/upstream/EndpointIoHandler.java
@@ -6,6 +6,7 @@
 import laurelkeel.wire.ByteBudget;
 import laurelkeel.wire.HttpProtocolException;
 import laurelkeel.wire.HttpResponse;
+import laurelkeel.wire.SurplusCopy;
 import org.apache.mina.core.session.IoSession;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,27 +35,50 @@
     @Override
     public void messageReceived(IoSession session, Object message) {
         if (message instanceof HttpResponse http) {
-            EndpointResponse response = protocol.parseResponse(http);
+            EndpointResponse response = confirmedByInput(http, protocol.parseResponse(http));
             if (response.forwarded() == null) {
                 bodyBudget.release(http.body().length);
             }
-            loop.post(() -> responseReceived(session, response));
+            boolean isHeld = response.forwarded() != null && http.statesEmptyBody();
+            loop.post(() -> responseReceived(session, response, isHeld));
+        } else if (message == SurplusCopy.INSTANCE) {
+            loop.post(() -> surplusCopyReceived(session));
         } else if (message instanceof HttpProtocolException failure) {
             LOG.info("{}: unreadable response: {}", session.getRemoteAddress(), failure.getMessage());
             loop.post(() -> responseUnreadable(session, failure));
         }
     }
 
-    private void responseReceived(IoSession session, EndpointResponse response) {
+    /**
+     * Returns the response, or an unreadable one if its body would be passed on and its end is in doubt. Whatever follows another
+     * response, its head alone tells the outcome.
+     */
+    private EndpointResponse confirmedByInput(HttpResponse http, EndpointResponse response) {
+        return http.hasDoubtfulEnd() && response.forwarded() != null
+                ? new EndpointResponse(protocol.unreadableOutcome(), null, response.loadReport(), true)
+                : response;
+    }
+
+    private void responseReceived(IoSession session, EndpointResponse response, boolean isHeld) {
         EndpointConnection connection = EndpointConnection.of(session);
         if (connection == null) {
             response.releaseBody(bodyBudget);
             session.closeNow();
+        } else if (isHeld) {
+            dispatcher.holdResponse(connection, response);
         } else {
             dispatcher.responseReceived(connection, response);
         }
     }
 
+    private void surplusCopyReceived(IoSession session) {
+        EndpointConnection connection = EndpointConnection.of(session);
+        if (connection != null) {
+            dispatcher.confirmHeldResponse(connection);
+        }
+        session.closeNow();
+    }
+
     private void responseUnreadable(IoSession session, HttpProtocolException failure) {
         EndpointConnection connection = EndpointConnection.of(session);
         if (connection == null) {
@@ -84,6 +108,12 @@
         if (!(cause instanceof IOException)) {
             LOG.error("cannot process input from {}", session.getRemoteAddress(), cause);
         }
+        loop.post(() -> {
+            EndpointConnection connection = EndpointConnection.of(session);
+            if (connection != null) {
+                connection.takeHeldResponse();
+            }
+        });
         session.closeNow();
     }
 }
--- a/src/main/java/laurelkeel/front/upstream/ExchangeDispatcher.java
+++ b/src/main/java/laurelkeel/front/upstream/ExchangeDispatcher.java
@@ -1,6 +1,7 @@
 package laurelkeel.front.upstream;
 
 import laurelkeel.api.Event.AttemptOutcome;
+import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.wire.ByteBudget;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
@@ -12,6 +13,9 @@
  * <p>Not thread-safe; called on the event loop's thread.
  */
 final class ExchangeDispatcher {
+    /** How long after an empty response its body may still arrive if the stated length is too short. */
+    private static final long CONFIRMATION_TICKS = 10 * Ticks.PER_MILLISECOND;
+
     private final EventLoop loop;
     private final ConnectionLimiter limiter;
     private final ByteBudget bodyBudget;
@@ -88,6 +92,23 @@
         pool.addIdle(connection);
     }
 
+    /**
+     * Keeps a response whose empty body its head alone cannot confirm: if the stated length is too short, the body follows. The
+     * end is confirmed by the end of the connection, or if no further bytes arrive for {@link #CONFIRMATION_TICKS}.
+     */
+    void holdResponse(EndpointConnection connection, EndpointResponse response) {
+        connection.holdResponse(
+                response, loop.schedule(loop.nowTicks() + CONFIRMATION_TICKS, () -> confirmHeldResponse(connection)));
+    }
+
+    /** Ends the exchange on a connection with the response that it holds, if any. */
+    void confirmHeldResponse(EndpointConnection connection) {
+        EndpointResponse held = connection.takeHeldResponse();
+        if (held != null) {
+            responseReceived(connection, held);
+        }
+    }
+
     /** Ends the exchange on a connection with its response, and makes the connection available after the reuse delay. */
     void responseReceived(EndpointConnection connection, EndpointResponse response) {
         Exchange exchange = connection.takeExchange();
@@ -111,6 +132,9 @@
 
     /** Keeps a connection idle for the reuse delay: surplus bytes after a response must not be read as the next response. */
     private void delayReuse(EndpointConnection connection) {
+        if (!connection.isUsable()) {
+            return;
+        }
         connection.setIdleSince(loop.nowTicks());
         if (reuseDelayTicks == 0) {
             connectionAvailable(connection);
@@ -130,6 +154,7 @@
     /** Ends the exchange on a connection whose input is invalid, and closes the connection. */
     void responseUnreadable(EndpointConnection connection, AttemptOutcome outcome) {
         Exchange exchange = connection.takeExchange();
+        connection.takeHeldResponse();
         connection.close();
         if (exchange != null) {
             exchange.detachFromConnection();
@@ -144,6 +169,7 @@
         }
         EndpointConnectionPool pool = connection.pool();
         pool.connectionClosed(connection);
+        confirmHeldResponse(connection);
         exchangeInterrupted(connection, connection.takeExchange());
         if (!connection.wasUsed()) {
             pool.unusedConnectionClosed();
--- a/src/main/java/laurelkeel/platform/EndpointMessages.java
+++ b/src/main/java/laurelkeel/platform/EndpointMessages.java
@@ -47,13 +47,14 @@
                 outcome,
                 forwarded,
                 LoadReportParser.parse(response.headers().get(PlatformHeaders.LOAD_REPORT)),
-                response.closesConnection());
+                response.closesConnection() || outcome == AttemptOutcome.CONNECTION_LOST);
     }
 
     private static AttemptOutcome outcome(HttpResponse response) {
         int status = response.status();
         if (status == OK) {
-            return AttemptOutcome.COMPLETED;
+            // the platform serves 200 and a body; one without a body has lost it, whether or not more bytes follow
+            return response.body().length > 0 ? AttemptOutcome.COMPLETED : AttemptOutcome.CONNECTION_LOST;
         }
         boolean notExecuted = (status == SERVICE_UNAVAILABLE || status == GATEWAY_TIMEOUT)
                 && PlatformHeaders.FLAG_SET.equals(response.headers().get(PlatformHeaders.NOT_EXECUTED));
--- a/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
+++ b/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
@@ -27,6 +27,9 @@
     private boolean skipsInput;
 
     private boolean responseExpected;
+    /** The beginning of the last complete response; empty if there is none. */
+    private byte[] endedResponse = {};
+
     private volatile long partialSinceNanos;
 
     /** @param bodyBudget budget from which the parser reserves the bodies of its messages */
@@ -58,8 +61,7 @@
             parser.expectHeadResponse();
         }
         try {
-            boolean isFullBuffer = in.limit() == in.capacity();
-            boolean wasInBody = readMessages(session, bytes, isFullBuffer, out);
+            boolean wasInBody = readMessages(session, bytes, out);
             if (partialSinceNanos == 0 && !parser.isIdle()) {
                 // the lowest bit is set because 0 means that there is none
                 partialSinceNanos = System.nanoTime() | 1;
@@ -78,20 +80,25 @@
     /**
      * Reads messages.
      *
-     * @param isFullBuffer whether more input may have arrived than was read
      * @return whether the message that is now partially read was already in its body before these bytes
      */
-    private boolean readMessages(IoSession session, ByteBuffer bytes, boolean isFullBuffer, ProtocolDecoderOutput out)
+    private boolean readMessages(IoSession session, ByteBuffer bytes, ProtocolDecoderOutput out)
             throws HttpProtocolException {
         boolean wasInBody = parser.inBody();
         while (bytes.hasRemaining()) {
+            if (isLateCopy(session, bytes)) {
+                skipsInput = true;
+                skip(bytes);
+                out.write(SurplusCopy.INSTANCE);
+                return false;
+            }
             requireExpectedResponse(session);
             HttpMessage message = parser.read(bytes);
             if (message != null) {
                 partialSinceNanos = 0;
                 responseExpected = false;
                 if (oneRequestAtATime && message instanceof HttpResponse response) {
-                    handleSurplus(session, response, bytes, isFullBuffer);
+                    message = checkSurplus(session, response, bytes);
                 } else if (message instanceof HttpRequest request) {
                     requireRequestStart(request, bytes);
                 }
@@ -117,45 +124,42 @@
 
     /**
      * Marks a response as the last one of its connection if there is surplus input behind it, which could be mistaken for the
-     * next response.
+     * next response, and its end as doubtful unless the surplus confirms it.
      *
      * @param rest the rest of the read buffer, which is skipped
-     * @throws HttpProtocolException if the surplus input casts doubt on the end of the response: a length that is too short
-     *     leaves the rest of the body there
      */
-    private void handleSurplus(IoSession session, HttpResponse response, ByteBuffer rest, boolean isFullBuffer)
-            throws HttpProtocolException {
-        ByteBuffer surplus = isFullBuffer ? withReadAhead(session, rest) : rest;
+    private HttpResponse checkSurplus(IoSession session, HttpResponse response, ByteBuffer rest) {
+        endedResponse = SurplusInput.startOf(response);
+        ByteBuffer surplus = withReadAhead(session, rest);
         if (!surplus.hasRemaining()) {
-            return;
+            return response;
         }
-        int bodyBytes = response.body().length;
-        boolean copy = SurplusInput.isCopyOf(response, surplus);
+        boolean copy = SurplusInput.isCopy(endedResponse, surplus);
         LOG.info(
                 "{}: a response with a body of {} bytes is followed by more bytes, {}",
                 session.getRemoteAddress(),
-                bodyBytes,
+                response.body().length,
                 copy ? "a copy of it" : "which are no copy of it");
-        if (!copy && !response.endsWithItsHead()) {
-            bodyBudget.release(bodyBytes);
-            throw new HttpProtocolException(502, "more bytes follow the end that the response states");
-        }
         response.headers().add("Connection", "close");
         skipsInput = true;
         skip(rest);
+        return copy || response.endsWithItsHead() ? response : response.withDoubtfulEnd();
     }
 
     /**
-     * Returns the rest of a full buffer and the beginning of the input behind it, which would otherwise be read only after the
-     * response has been passed on.
+     * Returns the rest of a read buffer and the beginning of the input that has arrived behind it, which would otherwise be
+     * read only after the response has been passed on.
      */
     private static ByteBuffer withReadAhead(IoSession session, ByteBuffer rest) {
         SocketInput input = SocketInput.of(session);
-        if (input == null) {
+        if (input == null || rest.remaining() >= SurplusInput.DECISIVE_BYTES) {
             return rest;
         }
         try {
             ByteBuffer ahead = input.read();
+            if (!ahead.hasRemaining()) {
+                return rest;
+            }
             return ByteBuffer.allocate(rest.remaining() + ahead.remaining())
                     .put(rest.duplicate())
                     .put(ahead)
@@ -166,6 +170,14 @@
         }
     }
 
+    /** Returns whether input that belongs to no request is a second copy of the last response. */
+    private boolean isLateCopy(IoSession session, ByteBuffer bytes) {
+        return oneRequestAtATime
+                && !responseExpected
+                && !HttpCodec.expectsResponse(session)
+                && SurplusInput.isCopy(endedResponse, bytes);
+    }
+
     private void requireExpectedResponse(IoSession session) throws HttpProtocolException {
         if (oneRequestAtATime && !responseExpected) {
             responseExpected = HttpCodec.takeExpectedResponse(session);
--- a/src/main/java/laurelkeel/wire/SocketInput.java
+++ b/src/main/java/laurelkeel/wire/SocketInput.java
@@ -15,7 +15,7 @@
     /**
      * Reads some of the input that has arrived.
      *
-     * @return the bytes read; empty if none has arrived or the peer has closed its output
+     * @return the bytes read; empty if none has arrived or the peer has closed its output; valid until the next call
      */
     ByteBuffer read() throws IOException;
 
--- a/src/main/java/laurelkeel/wire/SurplusInput.java
+++ b/src/main/java/laurelkeel/wire/SurplusInput.java
@@ -6,18 +6,26 @@
 /** The bytes that were read behind a complete response although no further request has been sent. */
 final class SurplusInput {
     private static final int HTTP_VERSION_BYTES = "HTTP/1.1".length();
+    /** Further bytes change nothing about whether the first ones are a copy. */
+    static final int DECISIVE_BYTES = "HTTP/1.1 200".length();
 
     private SurplusInput() {}
 
+    /** Returns the bytes with which a copy of a response begins: its HTTP version and status. */
+    static byte[] startOf(HttpResponse response) {
+        return ("HTTP/1." + response.minorVersion() + ' ' + response.status()).getBytes(StandardCharsets.US_ASCII);
+    }
+
     /**
-     * Returns whether the bytes are the beginning of a second copy of a response: its HTTP version and status, or as much of
-     * them as has been read, but at least the version.
+     * Returns whether the bytes are the beginning of a second copy of a response, or as much of it as has been read, but at least
+     * its HTTP version.
      *
+     * @param responseStart the result of {@link #startOf} for the response; empty if there is none
      * @param surplus its position is not changed
      */
-    static boolean isCopyOf(HttpResponse response, ByteBuffer surplus) {
-        byte[] start =
-                ("HTTP/1." + response.minorVersion() + ' ' + response.status()).getBytes(StandardCharsets.US_ASCII);
-        return surplus.remaining() >= HTTP_VERSION_BYTES && HttpSyntax.haveCommonStart(start, surplus);
+    static boolean isCopy(byte[] responseStart, ByteBuffer surplus) {
+        return responseStart.length > 0
+                && surplus.remaining() >= HTTP_VERSION_BYTES
+                && HttpSyntax.haveCommonStart(responseStart, surplus);
     }
 }
--- a/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
+++ b/src/main/java/laurelkeel/wire/UnexpectedInputProcessor.java
@@ -15,12 +15,13 @@
  * connection that the peer has already closed.
  *
  * <p>It tells the {@link InputListener} of a session what its reads find, and provides a {@link SocketInput} for each session,
- * so that a decoder can look behind the end of a full read buffer.
+ * so that a decoder can look behind the end of a read buffer.
  */
 public final class UnexpectedInputProcessor extends NioProcessor {
     private static final int READ_AHEAD_BYTES = 64;
 
     private final IoBuffer probe = IoBuffer.allocate(1);
+    private final IoBuffer readAhead = IoBuffer.allocate(READ_AHEAD_BYTES);
 
     /** Creates a processor; called by MINA through reflection. */
     public UnexpectedInputProcessor(Executor threads) {
@@ -35,9 +36,9 @@
     }
 
     private ByteBuffer readAhead(NioSession session) throws IOException {
-        IoBuffer bytes = IoBuffer.allocate(READ_AHEAD_BYTES);
-        readInto(session, bytes);
-        return bytes.flip().buf();
+        readAhead.clear();
+        readInto(session, readAhead);
+        return readAhead.flip().buf();
     }
 
     @Override
--- a/src/test/java/laurelkeel/front/upstream/ConnectionPoolsTestBed.java
+++ b/src/test/java/laurelkeel/front/upstream/ConnectionPoolsTestBed.java
@@ -8,6 +8,8 @@
 import java.net.ServerSocket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
 import laurelkeel.api.Event.AttemptOutcome;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.eventloop.LoopThreads;
@@ -22,7 +24,9 @@
     /** Far longer than a test, so that the connect timeout never ends an exchange here. */
     private static final long CONNECT_TIMEOUT_TICKS = 600_000;
 
-    final EventLoop loop = new EventLoop(NodeRuntime.monotonicClock());
+    private final LongSupplier realTicks = NodeRuntime.monotonicClock();
+    private final AtomicReference<@Nullable Long> stoppedAtTicks = new AtomicReference<>();
+    final EventLoop loop = new EventLoop(this::clockTicks);
     final ConnectionPools pools;
     final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final EndpointAddress address =
@@ -45,6 +49,16 @@
         loopThread.start();
     }
 
+    private long clockTicks() {
+        Long stoppedAt = stoppedAtTicks.get();
+        return stoppedAt == null ? realTicks.getAsLong() : stoppedAt;
+    }
+
+    /** Stops the event loop's clock, so that no timer is due. */
+    void stopClock() {
+        stoppedAtTicks.set(realTicks.getAsLong());
+    }
+
     /** Starts an exchange with the endpoint and returns its result. */
     CompletableFuture<Ended> startExchange() {
         CompletableFuture<Ended> ended = new CompletableFuture<>();
@@ -53,7 +67,7 @@
                 () -> "GET / HTTP/1.1\r\n\r\n".getBytes(UTF_8),
                 (outcome, response) -> ended.complete(new Ended(
                         outcome,
-                        response == null
+                        response == null || response.forwarded() == null
                                 ? null
                                 : new String(response.forwarded().body(), UTF_8)))));
         return ended;
--- a/src/test/java/laurelkeel/front/upstream/ResponseLengthTest.java
+++ b/src/test/java/laurelkeel/front/upstream/ResponseLengthTest.java
@@ -1,6 +1,7 @@
 package laurelkeel.front.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import laurelkeel.api.Event.AttemptOutcome;
 import laurelkeel.front.FrontTestPeers;
@@ -28,11 +30,15 @@
     /** Blocks the I/O thread after each read until the endpoint has sent its whole response. */
     private volatile CountDownLatch responseSent = new CountDownLatch(0);
 
+    /** Counts the reads that have been handled. */
+    private final Semaphore reads = new Semaphore(0);
+
     ResponseLengthTest() throws IOException {
         testBed.pools.connector().getFilterChain().addFirst("block", new IoFilterAdapter() {
             @Override
             public void messageReceived(NextFilter next, IoSession session, Object message) throws Exception {
                 next.messageReceived(session, message);
+                reads.release();
                 responseSent.await();
             }
         });
@@ -119,4 +125,53 @@
             assertEquals(new Ended(AttemptOutcome.COMPLETED, body), exchange(response + response), "copy of " + length);
         }
     }
+
+    /** Returns the outcome of an exchange whose response arrives in two parts, the second after the first has been read. */
+    private Ended exchangeInParts(String first, String second) throws Exception {
+        testBed.stopClock();
+        reads.drainPermits();
+        CompletableFuture<Ended> ended = testBed.startExchange();
+        try (Socket connection = testBed.server.accept()) {
+            FrontTestPeers.receive(connection);
+            FrontTestPeers.send(connection, first);
+            assertTrue(reads.tryAcquire(10, TimeUnit.SECONDS));
+            FrontTestPeers.send(connection, second);
+            Ended result = ended.get(10, TimeUnit.SECONDS);
+            assertEquals(-1, connection.getInputStream().read());
+            return result;
+        }
+    }
+
+    /** Guards against a response being served with an empty body because its body is read after its head. */
+    @Test
+    void aBodyBehindAResponseThatStatesAnEmptyOneIsNotServedAsEmpty() throws Exception {
+        String emptyChunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        for (String empty : List.of(withLength(0, ""), INTERIM + withLength(0, ""), emptyChunked)) {
+            for (String rest : List.of("b", "body", "\r\n", "HTTP")) {
+                assertNotServed(empty + rest, exchangeInParts(empty, rest));
+            }
+        }
+    }
+
+    /** Guards against a second copy being taken for the body because it is read after the response. */
+    @Test
+    void anEmptyResponseIsServedIfASecondCopyIsReadAfterIt() throws Exception {
+        String response = withLength(0, "");
+        assertEquals(new Ended(AttemptOutcome.COMPLETED, ""), exchangeInParts(response, response));
+    }
+
+    @Test
+    void anEmptyResponseIsServedIfNothingFollowsItOrItsConnectionEnds() throws Exception {
+        for (boolean closes : List.of(true, false)) {
+            CompletableFuture<Ended> ended = testBed.startExchange();
+            try (Socket connection = testBed.server.accept()) {
+                FrontTestPeers.receive(connection);
+                FrontTestPeers.send(connection, withLength(0, ""));
+                if (closes) {
+                    connection.shutdownOutput();
+                }
+                assertEquals(new Ended(AttemptOutcome.COMPLETED, ""), ended.get(10, TimeUnit.SECONDS));
+            }
+        }
+    }
 }
--- a/src/test/java/laurelkeel/platform/PlatformProtocolTest.java
+++ b/src/test/java/laurelkeel/platform/PlatformProtocolTest.java
@@ -55,6 +55,12 @@
                 new ResponseCase(
                         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", AttemptOutcome.CONNECTION_LOST),
                 new ResponseCase("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", AttemptOutcome.CONNECTION_LOST),
+                new ResponseCase("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", AttemptOutcome.CONNECTION_LOST),
+                new ResponseCase("HTTP/1.1 200 OK\r\n\r\n", AttemptOutcome.CONNECTION_LOST),
+                new ResponseCase("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\nbody", AttemptOutcome.FAILED),
+                new ResponseCase(
+                        "HTTP/1.1 503 F\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\nbody",
+                        AttemptOutcome.OVERLOADED),
                 new ResponseCase("", AttemptOutcome.CONNECTION_LOST),
                 new ResponseCase("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", AttemptOutcome.CONNECTION_LOST));
         try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
@@ -188,6 +194,20 @@
         }
     }
 
+    /** Guards against 200 without a body being served, since the body may follow in a later read. */
+    @Test
+    void aResponseWithoutABodyIsNotServedWhateverFollows() throws Exception {
+        try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
+            Socket client = testBed.connectClient();
+            send(client, getRequest("1", ""));
+            Socket endpointConnection = testBed.endpoint.nextConnection();
+            receive(endpointConnection);
+            send(endpointConnection, okResponse(""));
+            assertTrue(receive(client).startsWith("HTTP/1.1 502 "));
+            assertTrue(receive(endpointConnection).contains("<end>"));
+        }
+    }
+
     /** Checks the answer to a request whose response is followed by surplus bytes, and that they are never used. */
     private static void assertNextRequestUsesOtherConnection(String response, boolean served) throws Exception {
         try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::sendOnce)) {
