Bound an endpoint list by what it says and not by its layout; not ready without it

Change: - Entries are converted one by one as their tokens arrive (DiscoveryMessageAssembler). The bounds are on endpoints and on the text in tokens; white space and unknown fields cost no memory. A list is still taken whole or not at all. - The list in the configuration is read in the same way and never held as JSON, at the start and after SIGHUP. - The next watch after a second unusable list within 10 s waits 0.1 to 1 s. - A node that has not heard a usable list is not ready while discovery's last message is one it cannot read; the log names version, count and error.

--- a/src/main/java/laurelkeel/platform/DiscoveryClient.java
+++ b/src/main/java/laurelkeel/platform/DiscoveryClient.java
@@ -1,6 +1,5 @@
 package laurelkeel.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import laurelkeel.api.Event;
@@ -11,7 +10,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Watches discovery, applies each endpoint list to the directory and emits the resulting event. */
-final class DiscoveryClient implements ServiceClient {
+final class DiscoveryClient implements ServiceClient, DiscoveryWatchReader.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
     /**
      * Discovery sends an empty line every 2 s, and the platform treats a change as known to this node after 6 s, even
@@ -28,6 +27,8 @@
     private final String host;
     private final ReconnectingStream stream;
     private boolean reported;
+    private boolean lastMessageUnreadable;
+    private int unreadableMessages;
 
     /**
      * Creates a client that opens no connection until it is started.
@@ -71,15 +72,32 @@
         return reported;
     }
 
-    private void onEndpointList(JsonNode json) throws UnusableMessageException {
-        DiscoveredListHeader header = DiscoveryProtocol.parseHeader(json);
+    /** Returns whether discovery's last message could not be read, so that this node lacks what discovery has told it. */
+    boolean isLastMessageUnreadable() {
+        return lastMessageUnreadable;
+    }
+
+    @Override
+    public void onUnreadableMessage(MalformedMessageException error) {
+        lastMessageUnreadable = true;
+        unreadableMessages++;
+        LOG.error(
+                "the endpoint list of version {} stays in force, since discovery's message cannot be read ({} such messages): {}",
+                directory.version(),
+                unreadableMessages,
+                error.getMessage());
+    }
+
+    @Override
+    public void onMessage(DiscoveryMessage message) throws UnusableMessageException {
         Event.EndpointListUpdate update = null;
-        if (directory.acceptVersion(header, loop.nowTicks())) {
-            update = directory.applyUpdate(DiscoveryProtocol.parseEndpoints(json, header), loop.nowTicks());
+        if (directory.acceptVersion(message.header(), loop.nowTicks())) {
+            update = directory.applyUpdate(message.list(), loop.nowTicks());
         }
         reported = true;
+        lastMessageUnreadable = false;
         if (FrontNode.TRACE) {
-            String text = json.toString();
+            String text = message.toString();
             LOG.info("trace list {}", text.length() > MAX_TRACE_CHARS ? text.substring(0, MAX_TRACE_CHARS) : text);
         }
         if (update != null) {
@@ -101,7 +119,12 @@
 
         @Override
         public StreamReader newReader() {
-            return new DiscoveryWatchReader(DiscoveryClient.this::onEndpointList);
+            return new DiscoveryWatchReader(DiscoveryClient.this);
+        }
+
+        @Override
+        public boolean resendsMessages() {
+            return true;
         }
 
         @Override
--- a/src/main/java/laurelkeel/platform/DiscoveryProtocol.java
+++ b/src/main/java/laurelkeel/platform/DiscoveryProtocol.java
@@ -1,15 +1,15 @@
 package laurelkeel.platform;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import laurelkeel.api.Event.EndpointState;
 import org.jspecify.annotations.Nullable;
 
 /**
- * The HTTP and JSON protocol of discovery. Encodes the request for a watch and parses JSON objects into typed lists.
+ * The HTTP and JSON protocol of discovery. Encodes the request for a watch and parses JSON into typed messages.
  *
  * <p>All names of the protocol are defined here. Unknown fields are ignored. Thread-safe.
  */
@@ -56,35 +56,24 @@
         return STATES.get(name);
     }
 
-    /** Parses a list; if any entry is malformed, the whole list is rejected. */
-    static DiscoveredEndpointList parseList(JsonNode list) throws MalformedMessageException {
-        return parseEndpoints(list, parseHeader(list));
-    }
-
-    /** Parses the version and completeness of a list, and checks that it has an array of entries. */
-    static DiscoveredListHeader parseHeader(JsonNode list) throws MalformedMessageException {
-        JsonNode version = list.path(VERSION);
-        if (!version.isIntegralNumber()) {
-            throw new MalformedMessageException(VERSION, "is not a whole number in " + excerpt(list));
-        }
-        if (!list.path(ENDPOINTS).isArray()) {
-            throw new MalformedMessageException(ENDPOINTS, "is not an array in " + excerpt(list));
+    /** Reads the message whose first token is the current one of a parser. */
+    static DiscoveryMessage readMessage(JsonParser parser) throws IOException, MalformedMessageException {
+        DiscoveryMessageAssembler assembler = new DiscoveryMessageAssembler();
+        DiscoveryMessage message = null;
+        while (message == null && parser.currentToken() != null) {
+            message = assembler.add(parser);
+            if (message == null) {
+                parser.nextToken();
+            }
         }
-        return new DiscoveredListHeader(version.longValue(), list.path(COMPLETE).asBoolean(false));
-    }
-
-    /** Parses the entries of a list whose header has been parsed. */
-    static DiscoveredEndpointList parseEndpoints(JsonNode list, DiscoveredListHeader header)
-            throws MalformedMessageException {
-        JsonNode entries = list.path(ENDPOINTS);
-        List<DiscoveredEndpoint> endpoints = new ArrayList<>(entries.size());
-        for (JsonNode entry : entries) {
-            endpoints.add(parseEndpoint(entry));
+        if (message == null) {
+            throw new MalformedMessageException("JSON", "the list does not end");
         }
-        return new DiscoveredEndpointList(header, endpoints);
+        return message;
     }
 
-    private static DiscoveredEndpoint parseEndpoint(JsonNode entry) throws MalformedMessageException {
+    /** Parses an entry of a list. */
+    static DiscoveredEndpoint parseEndpoint(JsonNode entry) throws MalformedMessageException {
         String id = entry.path(ID).asText("");
         if (id.isEmpty()) {
             throw new MalformedMessageException(ID, "is missing in " + excerpt(entry));
--- a/src/main/java/laurelkeel/platform/DiscoveryWatchReader.java
+++ b/src/main/java/laurelkeel/platform/DiscoveryWatchReader.java
@@ -8,29 +8,37 @@
 import laurelkeel.wire.HttpProtocolException;
 
 /**
- * Reads the response to a watch on discovery, an open-ended chunked HTTP response that contains JSON objects.
+ * Reads the response to a watch on discovery, an open-ended chunked HTTP response that contains messages.
  *
  * <p>Not thread-safe; each connection needs a new reader.
  */
 final class DiscoveryWatchReader implements StreamReader {
-    /** Enough for thousands of endpoints: an entry has about 200 bytes, or twice that if the JSON is indented. */
-    private static final int MAX_LIST_BYTES = 1 << 20;
+    /** Chunks are passed on as they arrive; {@link DiscoveryMessageAssembler} limits what a list may hold. */
+    private static final int MAX_CHUNK_BYTES = Integer.MAX_VALUE;
 
     private static final int MAX_LINE_BYTES = 1 << 10;
     private static final int MAX_HEADER_BYTES = 8 << 10;
     private static final int MAX_HEADERS = 64;
     private static final HttpLimits LIMITS =
-            new HttpLimits(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_HEADERS, MAX_LIST_BYTES);
+            new HttpLimits(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_HEADERS, MAX_CHUNK_BYTES);
     private static final int STATUS_OK = 200;
 
-    private final JsonObjectReader.ObjectConsumer consumer;
+    /** Receives what a watch delivers. */
+    interface Listener {
+        /** Called for each message. */
+        void onMessage(DiscoveryMessage message) throws UnusableMessageException;
+
+        /** Called if the watch delivers something that is no list or exceeds the limits of one. */
+        void onUnreadableMessage(MalformedMessageException error);
+    }
+
+    private final Listener listener;
     private final List<byte[]> bodyParts = new ArrayList<>();
     private final HttpParser parser = HttpParser.streamed(LIMITS, bodyParts::add);
-    private final JsonObjectReader objects = new JsonObjectReader(MAX_LIST_BYTES);
+    private final DiscoveryMessageReader messages = new DiscoveryMessageReader();
 
-    /** @param consumer receives each JSON object of the response */
-    DiscoveryWatchReader(JsonObjectReader.ObjectConsumer consumer) {
-        this.consumer = consumer;
+    DiscoveryWatchReader(Listener listener) {
+        this.listener = listener;
     }
 
     @Override
@@ -40,7 +48,7 @@
         while (remaining.hasRemaining()) {
             boolean ended = parse(remaining);
             for (byte[] part : bodyParts) {
-                received |= objects.read(part, consumer);
+                received |= readMessages(part);
             }
             bodyParts.clear();
             if (ended) {
@@ -50,6 +58,15 @@
         return received;
     }
 
+    private boolean readMessages(byte[] part) throws UnusableMessageException {
+        try {
+            return messages.read(part, listener::onMessage);
+        } catch (MalformedMessageException e) {
+            listener.onUnreadableMessage(e);
+            throw e;
+        }
+    }
+
     /** Parses until the response ends or all bytes are consumed, and returns whether the response has ended. */
     private boolean parse(ByteBuffer bytes) throws MalformedMessageException {
         try {
--- a/src/main/java/laurelkeel/platform/NodeConfigurationParser.java
+++ b/src/main/java/laurelkeel/platform/NodeConfigurationParser.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -52,8 +53,8 @@
 
     /** Reads and parses a file. */
     NodeConfiguration read(Path file) throws InvalidConfigurationException {
-        try {
-            return parse(Json.MAPPER.readTree(Files.readAllBytes(file)));
+        try (InputStream bytes = Files.newInputStream(file)) {
+            return parse(ConfigurationDocument.read(bytes));
         } catch (JsonProcessingException e) {
             throw new InvalidConfigurationException(file.toString(), "is not JSON: " + e.getOriginalMessage());
         } catch (NoSuchFileException e) {
@@ -64,7 +65,12 @@
     }
 
     /** Parses a configuration that has been read as JSON; null is treated as an empty document. */
-    NodeConfiguration parse(@Nullable JsonNode root) throws InvalidConfigurationException {
+    NodeConfiguration parse(@Nullable JsonNode json) throws InvalidConfigurationException {
+        return parse(json == null ? new ConfigurationDocument(null, null) : ConfigurationDocument.of(json));
+    }
+
+    private NodeConfiguration parse(ConfigurationDocument document) throws InvalidConfigurationException {
+        JsonNode root = document.root();
         if (root == null || !root.isObject()) {
             throw new InvalidConfigurationException("the configuration", "is not a JSON object");
         }
@@ -86,7 +92,7 @@
                     parseSeed(root.path(SEED).asText("")),
                     maxSockets,
                     parseRolloutState(rollouts.path(ROLLOUT_STATE)),
-                    parseCachedEndpoints(root.path(CACHED_ENDPOINTS)),
+                    document.cachedEndpoints(),
                     parsedSettings,
                     OptionsParser.socketOptions(options));
         } catch (InvalidOptionException e) {
@@ -158,16 +164,4 @@
                 ControlServiceProtocol.millisToTicks(
                         state.path(ControlServiceProtocol.AGE_MS).asDouble(0)));
     }
-
-    private static @Nullable DiscoveredEndpointList parseCachedEndpoints(JsonNode list) {
-        if (!list.isObject()) {
-            return null;
-        }
-        try {
-            return DiscoveryProtocol.parseList(list);
-        } catch (MalformedMessageException e) {
-            LOG.warn("{}.{}; the endpoint list is ignored", CACHED_ENDPOINTS, e.getMessage());
-            return null;
-        }
-    }
 }
--- a/src/main/java/laurelkeel/platform/PlatformServices.java
+++ b/src/main/java/laurelkeel/platform/PlatformServices.java
@@ -42,9 +42,11 @@
     private final EndpointDirectory directory;
     private final NewestBuildExposure exposure = new NewestBuildExposure();
     private final ServiceConnector connector;
-    private final ServiceClient discovery;
+    private final DiscoveryClient discovery;
     private final ControlServiceClient controlService;
     private final long createdAtTicks;
+    /** Whether the services have reported, or need not be waited for any longer. */
+    private boolean started;
 
     /**
      * Creates the services and applies the endpoint list and rollout state of the configuration; opens no connection.
@@ -167,11 +169,15 @@
                 healthy ? STATUS_OK : STATUS_UNAVAILABLE, new Headers(), body.getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Returns whether an endpoint is known, and either both services have reported or the wait for them is over. */
+    /**
+     * Returns whether an endpoint is known, and both services have reported or the wait for them is over. That they may be down
+     * does not excuse a start with a list that discovery has replaced by one that this node cannot read.
+     */
     private boolean isReady() {
         boolean reported = discovery.hasReported() && controlService.hasReported();
         boolean waitIsOver = loop.nowTicks() > createdAtTicks + MAX_WAIT_FOR_SERVICES_TICKS;
-        return !directory.isEmpty() && (reported || waitIsOver);
+        started |= reported || (waitIsOver && !discovery.isLastMessageUnreadable());
+        return started && !directory.isEmpty();
     }
 
     @Override
--- a/src/main/java/laurelkeel/platform/ReconnectingStream.java
+++ b/src/main/java/laurelkeel/platform/ReconnectingStream.java
@@ -42,10 +42,13 @@
     /** Well below the number of seconds after which the platform treats its updates as known. */
     private static final long MAX_BACKOFF_MILLIS = 1_000;
 
+    private static final long UNUSABLE_PERIOD_TICKS = 10 * Ticks.PER_SECOND;
+
     private final StreamProtocol protocol;
     private final ServiceConnector connector;
     private final EventLoop loop;
     private final ReconnectBackoff backoff;
+    private final ReconnectBackoff unusableBackoff;
     private InetSocketAddress address;
     /** The connection that has received messages; null if there is none. */
     private @Nullable StreamConnection current;
@@ -55,6 +58,9 @@
     /** When the next connection is opened if one is needed and no pending one makes progress; empty if not decided yet. */
     private OptionalLong nextOpenAtTicks = OptionalLong.empty();
 
+    /** The end of the time in which a further unusable message counts as the same one. */
+    private long unusableUntilTicks = Long.MIN_VALUE;
+
     private boolean started;
     private boolean closed;
 
@@ -71,6 +77,7 @@
         this.loop = loop;
         this.address = address;
         backoff = new ReconnectBackoff(seed, MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
+        unusableBackoff = new ReconnectBackoff(seed, MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
     }
 
     /** Connects to the current address; has no effect if the stream has been started or closed. */
@@ -174,6 +181,15 @@
         }
     }
 
+    /** Delays the next connection, which may receive the same message: it would be read in vain without end. */
+    private void onMessageUnusableAgain(StreamConnection lost) {
+        pending.remove(lost);
+        if (lost == current) {
+            current = null;
+        }
+        nextOpenAtTicks = OptionalLong.of(loop.nowTicks() + unusableBackoff.nextDelayMillis() * Ticks.PER_MILLISECOND);
+    }
+
     private long nextBackoffTicks() {
         return backoff.nextDelayMillis() * Ticks.PER_MILLISECOND;
     }
@@ -248,7 +264,15 @@
 
         private void discard() {
             connection.close();
-            onConnectionLost(this);
+            long nowTicks = loop.nowTicks();
+            boolean isAgain = protocol.resendsMessages() && nowTicks < unusableUntilTicks;
+            unusableUntilTicks = nowTicks + UNUSABLE_PERIOD_TICKS;
+            if (isAgain) {
+                onMessageUnusableAgain(this);
+            } else {
+                unusableBackoff.reset();
+                onConnectionLost(this);
+            }
         }
 
         @Override
--- a/src/main/java/laurelkeel/platform/StreamProtocol.java
+++ b/src/main/java/laurelkeel/platform/StreamProtocol.java
@@ -11,6 +11,11 @@
     /** Returns a reader for a new connection. */
     StreamReader newReader();
 
+    /** Returns whether a new connection receives again what the connection before it could not use. */
+    default boolean resendsMessages() {
+        return false;
+    }
+
     /** Returns how long a connection may receive no complete message before it counts as failed. */
     long silenceTimeoutTicks();
 }
--- a/src/test/java/laurelkeel/platform/DiscoveryClientTest.java
+++ b/src/test/java/laurelkeel/platform/DiscoveryClientTest.java
@@ -15,10 +15,12 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.List;
 import laurelkeel.api.Event;
 import laurelkeel.api.Event.EndpointListKind;
 import laurelkeel.api.Event.EndpointState;
+import laurelkeel.api.Ticks;
 import org.junit.jupiter.api.Test;
 
 /** Receiving endpoint lists from discovery, and their effect on the node. */
@@ -118,6 +120,47 @@
         }
     }
 
+    /** Guards against a whole list that is never applied because of its layout, so that drained endpoints stay in use. */
+    @Test
+    void theIndentedListOfTheLargestFleetIsApplied() throws Exception {
+        try (PlatformTestBed testBed = new PlatformTestBed(PlatformTestBed::doNothing)) {
+            String[] entries = new String[3_200];
+            Arrays.setAll(entries, i -> testBed.entryJson("s-" + i, "leaving", 1, testBed.endpoint));
+            String indented = listJson(2, true, entries).replace("{", "{\n\t\t").replace(",", ",\r\n" + " ".repeat(24));
+            testBed.acceptWatch(indented);
+            assertEquals(
+                    entries.length,
+                    testBed.awaitEvent(Event.EndpointListUpdate.class, 2)
+                            .entries()
+                            .size());
+        }
+    }
+
+    /** Guards against a node that starts with an old list because it cannot read the list that discovery sends. */
+    @Test
+    void aNodeThatCannotReadDiscoverysListIsNotReady() throws Exception {
+        TestClock clock = TestClock.running();
+        try (PlatformTestBed testBed = new PlatformTestBed(1024, 5000, clock, PlatformTestBed::doNothing)) {
+            Socket subscription = testBed.controlService.nextConnection();
+            lineReader(subscription).readLine();
+            send(subscription, "OK\r\n");
+            Socket client = testBed.connectClient();
+            // empty lines make each watch the current one before its list arrives
+            String unreadable = "\n" + listJson(2, true, "{\"id\":\"s-1\"}") + "\n";
+            for (int i = 0; i < 3; i++) {
+                testBed.acceptWatch(unreadable);
+            }
+            Socket last = testBed.discovery.nextConnection();
+            assertTrue(receive(last).contains("after=1 "));
+            clock.advance(4 * Ticks.PER_SECOND);
+            assertTrue(getHealth(client).startsWith("HTTP/1.1 503 "));
+            assertTrue(getHealth(client).startsWith("HTTP/1.1 503 "));
+            send(last, WATCH_RESPONSE_HEAD + chunk(testBed.listJson(2, true, "active", 1) + "\n"));
+            testBed.awaitEvent(Event.EndpointListUpdate.class, 2);
+            assertTrue(getHealth(client).startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     /** A discovery instance that lags behind, or a delayed list, may list draining endpoints as active. */
     @Test
     void anOlderCompleteListIsRejectedUntilSuchListsHaveArrivedForSixSeconds() throws Exception {
--- a/src/test/java/laurelkeel/platform/ReconnectingStreamTest.java
+++ b/src/test/java/laurelkeel/platform/ReconnectingStreamTest.java
@@ -228,4 +228,55 @@
             return false;
         }
     }
+
+    /** Guards against a list that cannot be used being requested again without a pause. */
+    @Test
+    void aMessageThatIsUnusableAgainDelaysTheNextConnection() throws Exception {
+        TestProtocol plain = new TestProtocol("resending", messages, openedConnections);
+        StreamProtocol resending = new StreamProtocol() {
+            @Override
+            public String serviceName() {
+                return plain.serviceName();
+            }
+
+            @Override
+            public byte[] openingRequest() {
+                return plain.openingRequest();
+            }
+
+            @Override
+            public StreamReader newReader() {
+                return (bytes, arrivedAtTicks) -> {
+                    if (bytes[0] == '!') {
+                        throw new MalformedMessageException("message", "is unusable");
+                    }
+                    return messages.add(new String(bytes, StandardCharsets.US_ASCII));
+                };
+            }
+
+            @Override
+            public long silenceTimeoutTicks() {
+                return plain.silenceTimeoutTicks();
+            }
+
+            @Override
+            public boolean resendsMessages() {
+                return true;
+            }
+        };
+        ReconnectingStream stream = new ReconnectingStream(resending, connector, loop, 1, address(server));
+        loop.post(stream::start);
+        for (int i = 0; i < 2; i++) {
+            Socket connection = server.nextConnection();
+            PlatformTestBed.send(connection, "sign of life");
+            assertMessage("sign of life");
+            PlatformTestBed.send(connection, "!");
+            assertEquals("resending", PlatformTestBed.lineReader(connection).readLine());
+            assertEquals(-1, connection.getInputStream().read());
+            runPostedTask();
+        }
+        assertEquals(2, openedConnections.get());
+        advance(2_000);
+        server.nextConnection();
+    }
 }
