--- a/src/main/java/laurelkeel/partition/PartitionedDecider.java
+++ b/src/main/java/laurelkeel/partition/PartitionedDecider.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.function.Predicate;
 import laurelkeel.api.Action;
 import laurelkeel.api.Decider;
@@ -59,6 +58,7 @@
     private final PartitionAssigner assigner;
     private final StickyKeyBindings keyBindings;
     private final SharedExposureLimiter exposureLimiter;
+    private final SharedAttemptRules attemptRules;
     private final VoteGate voteGate;
 
     private final List<Action> actions = new ArrayList<>();
@@ -80,6 +80,7 @@
         assigner = new PartitionAssigner(seed);
         keyBindings = new StickyKeyBindings(rollout.stickyKeys(), rollouts);
         exposureLimiter = new SharedExposureLimiter(settings);
+        attemptRules = new SharedAttemptRules(rollouts, partitions, keyBindings, exposureLimiter);
         voteGate = new VoteGate(rollout.voteLifetimeTicks());
     }
 
@@ -120,22 +121,10 @@
         if (request == null) {
             return partitions.first().mayWrite(requestId, attempt, nowTicks);
         }
-        TrafficPartition partition = request.partition();
-        int build = request.lastAttemptBuild();
-        if (isServedByLaterBuild(request, build, partition)) {
-            return WritePermission.refused(Refusal.KEY_BOUND_TO_LATER_BUILD);
-        }
-        if (rollouts.isRolledBack(build) || exceedsSharedCap(request, build, nowTicks)) {
-            return WritePermission.refused(Refusal.BUILD_NOT_SERVING);
-        }
-        return partition.mayWrite(requestId, request.toPartitionAttempt(attempt), nowTicks);
-    }
-
-    private boolean exceedsSharedCap(OwnedRequest request, int build, long nowTicks) {
-        OptionalDouble cap = rollouts.exposureCap(build);
-        return cap.isPresent()
-                && !partitions.isSingle()
-                && !exposureLimiter.isWithinCap(build, request.route(), cap.getAsDouble(), nowTicks);
+        Refusal refusal = attemptRules.refusalToWrite(request, nowTicks);
+        return refusal == null
+                ? request.partition().mayWrite(requestId, request.toPartitionAttempt(attempt), nowTicks)
+                : WritePermission.refused(refusal);
     }
 
     private void runDecider(TrafficPartition partition) {
@@ -337,7 +326,7 @@
             return;
         }
         int build = endpoints.buildOf(send.endpointId());
-        if (isServedByLaterBuild(request, build, partition) || !tryAcquireExposure(request, build)) {
+        if (!attemptRules.admit(request, build, nowTicks)) {
             partition.enqueue(new Event.AttemptEnded(
                     send.requestId(),
                     request.suppressAttempt(),
@@ -354,17 +343,6 @@
         actions.add(send);
     }
 
-    private boolean isServedByLaterBuild(OwnedRequest request, int build, TrafficPartition partition) {
-        return keyBindings.isServedByLaterBuild(request.key(), build, partition.id(), !partitions.isSingle());
-    }
-
-    private boolean tryAcquireExposure(OwnedRequest request, int build) {
-        OptionalDouble cap = rollouts.exposureCap(build);
-        return cap.isEmpty()
-                || exposureLimiter.tryAcquire(
-                        build, request.route(), cap.getAsDouble(), !partitions.isSingle(), nowTicks);
-    }
-
     private void castOrWithhold(TrafficPartition partition, Action.CastVote vote) {
         String reason = partitions.openCount() == 1 ? null : voteGate.reasonToWithhold(vote, nowTicks);
         if (reason == null) {
--- a/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
+++ b/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
@@ -1,6 +1,5 @@
 package laurelkeel.wire;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -8,8 +7,6 @@
 import org.apache.mina.filter.codec.ProtocolDecoder;
 import org.apache.mina.filter.codec.ProtocolDecoderOutput;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Decodes the input of one connection for the filter of {@link HttpCodec}.
@@ -17,18 +14,16 @@
  * <p>Not thread-safe; called on the connection's I/O thread, except for {@link #partialSinceNanos}.
  */
 final class HttpMessageDecoder implements ProtocolDecoder {
-    private static final Logger LOG = LoggerFactory.getLogger(HttpMessageDecoder.class);
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final HttpParser parser;
     private final ByteBudget bodyBudget;
     private final boolean oneRequestAtATime;
+    private final SurplusInput surplusInput = new SurplusInput();
     /** Whether all further input is skipped, because it was invalid or exceeded the expected response. */
     private boolean skipsInput;
 
     private boolean responseExpected;
-    /** The beginning of the last complete response; empty if there is none. */
-    private byte[] endedResponse = {};
 
     private volatile long partialSinceNanos;
 
@@ -98,7 +93,7 @@
                 partialSinceNanos = 0;
                 responseExpected = false;
                 if (oneRequestAtATime && message instanceof HttpResponse response) {
-                    message = checkSurplus(session, response, bytes);
+                    message = checkEnd(session, response, bytes);
                 } else if (message instanceof HttpRequest request) {
                     requireRequestStart(request, bytes);
                 }
@@ -124,50 +119,21 @@
 
     /**
      * Marks a response as the last one of its connection if there is surplus input behind it, which could be mistaken for the
-     * next response, and its end as doubtful unless the surplus confirms it.
+     * next response.
      *
      * @param rest the rest of the read buffer, which is skipped
+     * @return the response, whose end is doubtful unless the surplus confirms it
      */
-    private HttpResponse checkSurplus(IoSession session, HttpResponse response, ByteBuffer rest) {
-        endedResponse = SurplusInput.startOf(response);
-        ByteBuffer surplus = withReadAhead(session, rest);
-        if (!surplus.hasRemaining()) {
+    private HttpResponse checkEnd(IoSession session, HttpResponse response, ByteBuffer rest) {
+        SurplusInput.Kind surplus = surplusInput.behind(session, response, rest);
+        if (surplus == SurplusInput.Kind.NONE) {
             return response;
         }
-        boolean copy = SurplusInput.isCopy(endedResponse, surplus);
-        LOG.info(
-                "{}: a response with a body of {} bytes is followed by more bytes, {}",
-                session.getRemoteAddress(),
-                response.body().length,
-                copy ? "a copy of it" : "which are no copy of it");
         response.headers().add("Connection", "close");
         skipsInput = true;
         skip(rest);
-        return copy || response.endsWithItsHead() ? response : response.withDoubtfulEnd();
-    }
-
-    /**
-     * Returns the rest of a read buffer and the beginning of the input that has arrived behind it, which would otherwise be
-     * read only after the response has been passed on.
-     */
-    private static ByteBuffer withReadAhead(IoSession session, ByteBuffer rest) {
-        SocketInput input = SocketInput.of(session);
-        if (input == null || rest.remaining() >= SurplusInput.DECISIVE_BYTES) {
-            return rest;
-        }
-        try {
-            ByteBuffer ahead = input.read();
-            if (!ahead.hasRemaining()) {
-                return rest;
-            }
-            return ByteBuffer.allocate(rest.remaining() + ahead.remaining())
-                    .put(rest.duplicate())
-                    .put(ahead)
-                    .flip();
-        } catch (IOException e) {
-            // the connection has failed behind a complete response, which the I/O thread's next read reports too
-            return rest;
-        }
+        boolean isConfirmed = surplus == SurplusInput.Kind.COPY || response.endsWithItsHead();
+        return isConfirmed ? response : response.withDoubtfulEnd();
     }
 
     /** Returns whether input that belongs to no request is a second copy of the last response. */
@@ -175,7 +141,7 @@
         return oneRequestAtATime
                 && !responseExpected
                 && !HttpCodec.expectsResponse(session)
-                && SurplusInput.isCopy(endedResponse, bytes);
+                && surplusInput.isCopyOfLastResponse(bytes);
     }
 
     private void requireExpectedResponse(IoSession session) throws HttpProtocolException {
--- a/src/test/java/laurelkeel/platform/ReconnectingStreamTest.java
+++ b/src/test/java/laurelkeel/platform/ReconnectingStreamTest.java
@@ -29,6 +29,7 @@
 class ReconnectingStreamTest {
     private static final long STEP_MILLIS = 100;
     private static final int MAX_PENDING_CONNECTIONS = 6;
+    private static final char UNUSABLE = '!';
 
     private final TestClock clock = TestClock.stopped();
     private final NodeRuntime runtime = NodeRuntime.forSingleCore(clock);
@@ -40,8 +41,9 @@
     private final BlockingQueue<String> messages = new LinkedBlockingQueue<>();
     private final AtomicInteger openedConnections = new AtomicInteger();
 
-    /** A protocol in which any received bytes are a message, and whose silence timeout is longer than a test. */
-    private record TestProtocol(String serviceName, Queue<String> messages, AtomicInteger openedConnections)
+    /** A protocol in which any received bytes are a message, which is unusable if it begins with {@link #UNUSABLE}, and whose silence timeout is longer than a test. */
+    private record TestProtocol(
+            String serviceName, Queue<String> messages, AtomicInteger openedConnections, boolean resendsMessages)
             implements StreamProtocol {
         @Override
         public byte[] openingRequest() {
@@ -51,7 +53,12 @@
 
         @Override
         public StreamReader newReader() {
-            return (bytes, arrivedAtTicks) -> messages.add(new String(bytes, StandardCharsets.US_ASCII));
+            return (bytes, arrivedAtTicks) -> {
+                if (bytes[0] == UNUSABLE) {
+                    throw new MalformedMessageException("message", "is unusable");
+                }
+                return messages.add(new String(bytes, StandardCharsets.US_ASCII));
+            };
         }
 
         @Override
@@ -75,7 +82,7 @@
 
     private ReconnectingStream stream(String name, PlatformTestBed.FakeServer to) {
         return new ReconnectingStream(
-                new TestProtocol(name, messages, openedConnections), connector, loop, 1, address(to));
+                new TestProtocol(name, messages, openedConnections, false), connector, loop, 1, address(to));
     }
 
     private static InetSocketAddress address(PlatformTestBed.FakeServer to) {
@@ -232,38 +239,7 @@
     /** Guards against a list that cannot be used being requested again without a pause. */
     @Test
     void aMessageThatIsUnusableAgainDelaysTheNextConnection() throws Exception {
-        TestProtocol plain = new TestProtocol("resending", messages, openedConnections);
-        StreamProtocol resending = new StreamProtocol() {
-            @Override
-            public String serviceName() {
-                return plain.serviceName();
-            }
-
-            @Override
-            public byte[] openingRequest() {
-                return plain.openingRequest();
-            }
-
-            @Override
-            public StreamReader newReader() {
-                return (bytes, arrivedAtTicks) -> {
-                    if (bytes[0] == '!') {
-                        throw new MalformedMessageException("message", "is unusable");
-                    }
-                    return messages.add(new String(bytes, StandardCharsets.US_ASCII));
-                };
-            }
-
-            @Override
-            public long silenceTimeoutTicks() {
-                return plain.silenceTimeoutTicks();
-            }
-
-            @Override
-            public boolean resendsMessages() {
-                return true;
-            }
-        };
+        TestProtocol resending = new TestProtocol("resending", messages, openedConnections, true);
         ReconnectingStream stream = new ReconnectingStream(resending, connector, loop, 1, address(server));
         loop.post(stream::start);
         for (int i = 0; i < 2; i++) {
