--- a/src/main/java/laurelkeel/front/AttemptMessage.java
+++ b/src/main/java/laurelkeel/front/AttemptMessage.java
@@ -17,6 +17,9 @@
 final class AttemptMessage implements OutgoingRequest {
     private static final Logger LOG = LoggerFactory.getLogger(AttemptMessage.class);
 
+    /** Opening a connection takes a few milliseconds, which is no wait worth a line. */
+    private static final long LOGGED_WAIT_TICKS = 50 * Ticks.PER_MILLISECOND;
+
     private final NodeComponents components;
     private final AcceptedRequest request;
     private final DispatchedAttempt attempt;
@@ -76,14 +79,15 @@
     }
 
     private void logAfterWait(WritePermission permission, long nowTicks) {
-        if (!permission.isGranted() || hasWaited(nowTicks)) {
+        long waitedTicks = nowTicks - attempt.startedAtTicks();
+        if (!permission.isGranted() || waitedTicks >= LOGGED_WAIT_TICKS) {
             LOG.info(
                     "request {} ({}) attempt {} at {} waited {} ms for a connection: {}",
                     request.id(),
                     request.clientRequest().clientRequestId(),
                     attempt.number(),
                     attempt.endpointId(),
-                    (nowTicks - attempt.startedAtTicks()) / (double) Ticks.PER_MILLISECOND,
+                    waitedTicks / (double) Ticks.PER_MILLISECOND,
                     permission.isGranted() ? "written" : "not written, " + permission.refusal());
         }
     }
--- a/src/test/java/laurelkeel/decision/DecisionSimulation.java
+++ b/src/test/java/laurelkeel/decision/DecisionSimulation.java
@@ -446,6 +446,7 @@
         attempts.add(attempt);
         inFlight.add(attempt);
         sent.add(attempt);
+        check(RULE_ONE_ANSWER, refusalToWrite(attempt) == null, "refused as soon as it was sent: " + send);
     }
 
     private void checkEffects(Event.RequestReceived request, EndpointEntry endpoint) {
