Simulations check that no attempt is refused in the moment in which it is sent

Decider.mayWrite must not forbid what decide has just asked for, or a request would be served by nobody.

--- a/src/test/java/laurelkeel/partition/RolloutSimulation.java
+++ b/src/test/java/laurelkeel/partition/RolloutSimulation.java
@@ -325,6 +325,9 @@
         attemptsByBuild.merge(build, 1, Integer::sum);
         attemptsByEndpoint.merge(send.endpointId(), 1, Integer::sum);
         checkAttempt(requests.get(send.requestId()), build);
+        if (!decider.mayWrite(send.requestId(), attempt, nowTicks).isGranted()) {
+            addViolation("refused as soon as it was sent: " + decider.mayWrite(send.requestId(), attempt, nowTicks));
+        }
         AttemptOutcome outcome = randomOutcome(build);
         schedule(
                 nowTicks + 8 * MILLISECOND + random.nextInt(100),
