Close a connection on its own thread when a late copy of a response arrives

The copy is posted to the event loop; until that closed the connection, a request that was waiting on the I/O thread could still be written to it, and would have ended as lost.

--- a/src/main/java/laurelkeel/front/upstream/EndpointIoHandler.java
+++ b/src/main/java/laurelkeel/front/upstream/EndpointIoHandler.java
@@ -42,6 +42,8 @@
             boolean isHeld = response.forwarded() != null && http.statesEmptyBody();
             loop.post(() -> responseReceived(session, response, isHeld));
         } else if (message == SurplusCopy.INSTANCE) {
+            // closed here, since a request that waits on this thread could otherwise still be written
+            session.closeNow();
             loop.post(() -> surplusCopyReceived(session));
         } else if (message instanceof HttpProtocolException failure) {
             LOG.info("{}: unreadable response: {}", session.getRemoteAddress(), failure.getMessage());
@@ -76,7 +78,6 @@
         if (connection != null) {
             dispatcher.confirmHeldResponse(connection);
         }
-        session.closeNow();
     }
 
     private void responseUnreadable(IoSession session, HttpProtocolException failure) {
