Let the stream test's service read a request before it responds

Cause: the test's service sent both messages before it had read the request. Where the I/O thread is held up between the loop's write and its flush, the second message is read before the request is flushed; the node then closes the connection, and MINA drops the unflushed bytes. No service responds to a request that it has not received, so the node is unchanged.

The service now reads the request first.

--- a/src/test/java/laurelkeel/platform/ReconnectingStreamTest.java
+++ b/src/test/java/laurelkeel/platform/ReconnectingStreamTest.java
@@ -41,7 +41,10 @@
     private final BlockingQueue<String> messages = new LinkedBlockingQueue<>();
     private final AtomicInteger openedConnections = new AtomicInteger();
 
-    /** A protocol in which any received bytes are a message, which is unusable if it begins with {@link #UNUSABLE}, and whose silence timeout is longer than a test. */
+    /**
+     * A protocol in which any received bytes are a message, which is unusable if it begins with {@link #UNUSABLE}, and whose
+     * silence timeout is longer than a test.
+     */
     private record TestProtocol(
             String serviceName, Queue<String> messages, AtomicInteger openedConnections, boolean resendsMessages)
             implements StreamProtocol {
@@ -244,10 +247,10 @@
         loop.post(stream::start);
         for (int i = 0; i < 2; i++) {
             Socket connection = server.nextConnection();
+            assertEquals("resending", PlatformTestBed.lineReader(connection).readLine());
             PlatformTestBed.send(connection, "sign of life");
             assertMessage("sign of life");
             PlatformTestBed.send(connection, "!");
-            assertEquals("resending", PlatformTestBed.lineReader(connection).readLine());
             assertEquals(-1, connection.getInputStream().read());
             runPostedTask();
         }
