Look for a late copy of a response only where input is unexpected

The decoder asked twice for each response whether one is expected, and SurplusInput built the text of each response's start; now the version and the status are kept, and the text is built only when surplus input comes. The two ways in which a stream loses its connection share their first steps.

--- a/src/main/java/laurelkeel/platform/ReconnectingStream.java
+++ b/src/main/java/laurelkeel/platform/ReconnectingStream.java
@@ -143,7 +143,7 @@
             return;
         }
         if (nextOpenAtTicks.isEmpty() && !pending.isEmpty()) {
-            nextOpenAtTicks = OptionalLong.of(nowTicks + nextBackoffTicks());
+            openAfter(nextDelayTicks(backoff));
         }
         if (nowTicks >= nextOpenAtTicks.orElse(nowTicks)) {
             openConnection();
@@ -168,29 +168,35 @@
     }
 
     private void onConnectionLost(StreamConnection lost) {
-        pending.remove(lost);
-        if (lost != current) {
-            nextOpenAtTicks = OptionalLong.of(loop.nowTicks() + nextBackoffTicks());
-            return;
-        }
-        current = null;
+        boolean worked = forget(lost);
         // a service whose connection worked is likely to accept a new one immediately
-        nextOpenAtTicks = OptionalLong.of(loop.nowTicks());
-        if (pending.isEmpty() && !closed) {
+        openAfter(worked ? 0 : nextDelayTicks(backoff));
+        if (worked && pending.isEmpty() && !closed) {
             openConnection();
         }
     }
 
     /** Delays the next connection, which may receive the same message: it would be read in vain without end. */
     private void onMessageUnusableAgain(StreamConnection lost) {
+        forget(lost);
+        openAfter(nextDelayTicks(unusableBackoff));
+    }
+
+    /** Returns whether the connection was the current one. */
+    private boolean forget(StreamConnection lost) {
         pending.remove(lost);
-        if (lost == current) {
+        boolean wasCurrent = lost == current;
+        if (wasCurrent) {
             current = null;
         }
-        nextOpenAtTicks = OptionalLong.of(loop.nowTicks() + unusableBackoff.nextDelayMillis() * Ticks.PER_MILLISECOND);
+        return wasCurrent;
+    }
+
+    private void openAfter(long delayTicks) {
+        nextOpenAtTicks = OptionalLong.of(loop.nowTicks() + delayTicks);
     }
 
-    private long nextBackoffTicks() {
+    private static long nextDelayTicks(ReconnectBackoff backoff) {
         return backoff.nextDelayMillis() * Ticks.PER_MILLISECOND;
     }
 
--- a/src/main/java/laurelkeel/wire/HttpCodec.java
+++ b/src/main/java/laurelkeel/wire/HttpCodec.java
@@ -11,7 +11,8 @@
 
 /**
  * The HTTP parser and writer as a filter in MINA's filter chain. Handlers receive each complete {@link HttpMessage}, and a
- * {@link SurplusCopy} for a second copy of a response that arrives behind it. If the input is invalid, they receive a single {@link HttpProtocolException}, and the rest of the input is skipped.
+ * {@link SurplusCopy} for a second copy of a response that arrives behind it. If the input is invalid, they receive a single
+ * {@link HttpProtocolException}, and the rest of the input is skipped.
  *
  * <p>Thread-safe.
  */
@@ -103,10 +104,6 @@
         session.setAttribute(RESPONSE_EXPECTED, true);
     }
 
-    static boolean expectsResponse(IoSession session) {
-        return session.containsAttribute(RESPONSE_EXPECTED);
-    }
-
     /** Removes the record of an expected response; returns false if there was none. */
     static boolean takeExpectedResponse(IoSession session) {
         return session.removeAttribute(RESPONSE_EXPECTED) != null;
--- a/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
+++ b/src/main/java/laurelkeel/wire/HttpMessageDecoder.java
@@ -81,13 +81,10 @@
             throws HttpProtocolException {
         boolean wasInBody = parser.inBody();
         while (bytes.hasRemaining()) {
-            if (isLateCopy(session, bytes)) {
-                skipsInput = true;
-                skip(bytes);
-                out.write(SurplusCopy.INSTANCE);
+            if (oneRequestAtATime && !isResponseExpected(session)) {
+                skipUnexpected(bytes, out);
                 return false;
             }
-            requireExpectedResponse(session);
             HttpMessage message = parser.read(bytes);
             if (message != null) {
                 partialSinceNanos = 0;
@@ -136,21 +133,24 @@
         return isConfirmed ? response : response.withDoubtfulEnd();
     }
 
-    /** Returns whether input that belongs to no request is a second copy of the last response. */
-    private boolean isLateCopy(IoSession session, ByteBuffer bytes) {
-        return oneRequestAtATime
-                && !responseExpected
-                && !HttpCodec.expectsResponse(session)
-                && surplusInput.isCopyOfLastResponse(bytes);
+    /** Returns whether the next bytes belong to the response of a request that is in progress. */
+    private boolean isResponseExpected(IoSession session) {
+        responseExpected = responseExpected || HttpCodec.takeExpectedResponse(session);
+        return responseExpected;
     }
 
-    private void requireExpectedResponse(IoSession session) throws HttpProtocolException {
-        if (oneRequestAtATime && !responseExpected) {
-            responseExpected = HttpCodec.takeExpectedResponse(session);
-            if (!responseExpected) {
-                throw new HttpProtocolException(502, "received bytes although no request is in progress");
-            }
+    /**
+     * Skips input that belongs to no request, and passes on that there was any.
+     *
+     * @throws HttpProtocolException if it is anything but a second copy of the last response
+     */
+    private void skipUnexpected(ByteBuffer bytes, ProtocolDecoderOutput out) throws HttpProtocolException {
+        if (!surplusInput.isCopyOfLastResponse(bytes)) {
+            throw new HttpProtocolException(502, "received bytes although no request is in progress");
         }
+        skipsInput = true;
+        skip(bytes);
+        out.write(SurplusCopy.INSTANCE);
     }
 
     private static void skip(ByteBuffer bytes) {
--- a/src/main/java/laurelkeel/wire/SurplusInput.java
+++ b/src/main/java/laurelkeel/wire/SurplusInput.java
@@ -27,8 +27,11 @@
         OTHER
     }
 
-    /** The HTTP version and status of the last complete response, with which a copy begins; empty if there is none. */
-    private byte[] lastResponseStart = {};
+    private static final int NO_STATUS = 0;
+
+    private int lastMinorVersion;
+    /** The status of the last complete response; {@link #NO_STATUS} if there is none. */
+    private int lastStatus = NO_STATUS;
 
     /**
      * Returns what has arrived behind a response that has just been completed.
@@ -36,12 +39,13 @@
      * @param rest the rest of the read buffer; its position is not changed
      */
     Kind behind(IoSession session, HttpResponse response, ByteBuffer rest) {
-        lastResponseStart = startOf(response);
+        lastMinorVersion = response.minorVersion();
+        lastStatus = response.status();
         ByteBuffer surplus = withReadAhead(session, rest);
         if (!surplus.hasRemaining()) {
             return Kind.NONE;
         }
-        boolean isCopy = isCopy(lastResponseStart, surplus);
+        boolean isCopy = isCopyOf(response, surplus);
         LOG.info(
                 "{}: a response with a body of {} bytes is followed by more bytes, {}",
                 session.getRemoteAddress(),
@@ -56,25 +60,22 @@
      * @param bytes their position is not changed
      */
     boolean isCopyOfLastResponse(ByteBuffer bytes) {
-        return isCopy(lastResponseStart, bytes);
-    }
-
-    /** Returns the bytes with which a copy of a response begins: its HTTP version and status. */
-    static byte[] startOf(HttpResponse response) {
-        return ("HTTP/1." + response.minorVersion() + ' ' + response.status()).getBytes(StandardCharsets.US_ASCII);
+        return lastStatus != NO_STATUS && isCopy(lastMinorVersion, lastStatus, bytes);
     }
 
     /**
      * Returns whether the bytes are the beginning of a second copy of a response, or as much of it as has been read, but at least
      * its HTTP version.
      *
-     * @param responseStart the result of {@link #startOf} for the response; empty if there is none
      * @param surplus its position is not changed
      */
-    static boolean isCopy(byte[] responseStart, ByteBuffer surplus) {
-        return responseStart.length > 0
-                && surplus.remaining() >= HTTP_VERSION_BYTES
-                && HttpSyntax.haveCommonStart(responseStart, surplus);
+    static boolean isCopyOf(HttpResponse response, ByteBuffer surplus) {
+        return isCopy(response.minorVersion(), response.status(), surplus);
+    }
+
+    private static boolean isCopy(int minorVersion, int status, ByteBuffer surplus) {
+        byte[] start = ("HTTP/1." + minorVersion + ' ' + status).getBytes(StandardCharsets.US_ASCII);
+        return surplus.remaining() >= HTTP_VERSION_BYTES && HttpSyntax.haveCommonStart(start, surplus);
     }
 
     /**
--- a/src/test/java/laurelkeel/wire/SurplusInputTest.java
+++ b/src/test/java/laurelkeel/wire/SurplusInputTest.java
@@ -11,8 +11,7 @@
 
 /** Which bytes behind a response count as a second copy of it. */
 class SurplusInputTest {
-    private static final byte[] RESPONSE_START =
-            SurplusInput.startOf(new HttpResponse(200, new Headers(), new byte[0]));
+    private static final HttpResponse RESPONSE = new HttpResponse(200, new Headers(), new byte[0]);
 
     private static ByteBuffer bytes(String text) {
         return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
@@ -24,7 +23,7 @@
         for (int length = 0; length <= copy.length(); length++) {
             assertEquals(
                     length >= "HTTP/1.1".length(),
-                    SurplusInput.isCopy(RESPONSE_START, bytes(copy.substring(0, length))),
+                    SurplusInput.isCopyOf(RESPONSE, bytes(copy.substring(0, length))),
                     copy.substring(0, length));
         }
     }
@@ -39,14 +38,14 @@
                 "HTTP/1.1 500 E\r\n",
                 "HTTP/1.1-whole",
                 " HTTP/1.1 200")) {
-            assertFalse(SurplusInput.isCopy(RESPONSE_START, bytes(other)), other);
+            assertFalse(SurplusInput.isCopyOf(RESPONSE, bytes(other)), other);
         }
     }
 
     @Test
     void theBytesAreLeftInTheirBuffer() {
         ByteBuffer surplus = bytes("xHTTP/1.1 200 OK").position(1);
-        assertTrue(SurplusInput.isCopy(RESPONSE_START, surplus));
+        assertTrue(SurplusInput.isCopyOf(RESPONSE, surplus));
         assertEquals(1, surplus.position());
     }
 }
