--- a/src/main/java/laurelkeel/api/Event.java
+++ b/src/main/java/laurelkeel/api/Event.java
@@ -84,7 +84,21 @@
         /** The build serves all requests. */
         RELEASED,
         /** The build has been rolled back. */
-        ROLLED_BACK
+        ROLLED_BACK;
+
+        /** Returns whether a rollout is in this phase before it is in the other one: no rollout leads back to it. */
+        public boolean precedes(RolloutPhase other) {
+            return order() < other.order();
+        }
+
+        private int order() {
+            return switch (this) {
+                case CANARY -> 0;
+                case RELEASED -> 1;
+                case ROLLING_BACK -> 2;
+                case ROLLED_BACK -> 3;
+            };
+        }
     }
 
     /**
@@ -189,7 +203,24 @@
             RolloutPhase phase,
             int build,
             boolean answersVote)
-            implements Event {}
+            implements Event {
+        /**
+         * Longer than an update takes to arrive. An earlier phase that began this long after a later one belongs to
+         * another rollout of the same build.
+         */
+        private static final long MAX_DELAY_TICKS = 5 * Ticks.PER_SECOND;
+
+        /**
+         * Returns whether the control service sent this update before one that has arrived already. The reply to a vote
+         * and the updates of the subscription come on different connections, which have no common order.
+         *
+         * @param phase phase of this build's rollout in the latest update
+         * @param phaseStartedAtTicks when that phase began
+         */
+        public boolean isOvertakenBy(RolloutPhase phase, long phaseStartedAtTicks, long nowTicks) {
+            return this.phase.precedes(phase) && nowTicks - ageTicks <= phaseStartedAtTicks + MAX_DELAY_TICKS;
+        }
+    }
 
     /**
      * The statistics about all nodes' attempts at one build on one route in the platform's last reporting period.
--- a/src/main/java/laurelkeel/decision/RolloutState.java
+++ b/src/main/java/laurelkeel/decision/RolloutState.java
@@ -40,9 +40,21 @@
         this.settings = settings;
     }
 
-    /** Returns whether an update is valid and names no build older than the newest one announced; others are outdated. */
-    boolean isCurrent(RolloutUpdate update) {
-        return update.status() == ControlStatus.OK && update.build() >= announcedBuild;
+    /**
+     * Returns whether an update is valid and neither names a build older than the newest one announced, nor was overtaken by a
+     * later update of that one.
+     */
+    boolean isCurrent(RolloutUpdate update, long nowTicks) {
+        return update.status() == ControlStatus.OK
+                && update.build() >= announcedBuild
+                && !isOvertaken(update, nowTicks);
+    }
+
+    /** Returns whether an update names an earlier phase of the newest build than one that has arrived before. */
+    boolean isOvertaken(RolloutUpdate update, long nowTicks) {
+        return update.status() == ControlStatus.OK
+                && update.build() == announcedBuild
+                && update.isOvertakenBy(phase, stageStartedAtTicks, nowTicks);
     }
 
     /**
--- a/src/main/java/laurelkeel/decision/RoutingDecider.java
+++ b/src/main/java/laurelkeel/decision/RoutingDecider.java
@@ -147,7 +147,11 @@
         if (update.answersVote()) {
             voter.voteResponseReceived(update.status());
         }
-        if (!rollout.isCurrent(update)) {
+        if (rollout.isOvertaken(update, nowTicks)) {
+            actions.add(new Action.WriteLog("build " + update.build() + " stays " + rollout.phase() + ": an update to "
+                    + update.phase() + " was overtaken"));
+        }
+        if (!rollout.isCurrent(update, nowTicks)) {
             return;
         }
         if (rollout.apply(update, nowTicks)) {
--- a/src/main/java/laurelkeel/partition/ConcurrentRollouts.java
+++ b/src/main/java/laurelkeel/partition/ConcurrentRollouts.java
@@ -26,14 +26,21 @@
         this.stageExposureCaps = stageExposureCaps;
     }
 
+    /** Returns whether an update was sent before the latest one of the same build. */
+    boolean isOvertaken(RolloutUpdate update, long nowTicks) {
+        RolloutRecord state = states.get(update.build());
+        return state != null && state.hasOvertaken(update, nowTicks);
+    }
+
     /**
      * Applies an update. The release of a build ends all earlier rollouts.
      *
      * @return whether the state of the build's rollout has changed
      */
-    boolean apply(RolloutUpdate update) {
-        RolloutRecord state = RolloutRecord.of(update);
-        RolloutRecord previous = states.put(state.build(), state);
+    boolean apply(RolloutUpdate update, long nowTicks) {
+        RolloutRecord previous = states.get(update.build());
+        RolloutRecord state = RolloutRecord.of(update, previous, nowTicks);
+        states.put(state.build(), state);
         if (state.phase() == RolloutPhase.RELEASED && state.build() > releasedBuild) {
             releasedBuild = state.build();
             states.headMap(releasedBuild).clear();
--- a/src/main/java/laurelkeel/partition/PartitionedDecider.java
+++ b/src/main/java/laurelkeel/partition/PartitionedDecider.java
@@ -252,7 +252,12 @@
                     update);
             return;
         }
-        boolean changed = rollouts.apply(update);
+        if (rollouts.isOvertaken(update, nowTicks)) {
+            // it may be the reply that the decider of this rollout awaits, which ignores the state in it
+            enqueueIf(partition -> partition.rolloutBuild() == update.build(), update);
+            return;
+        }
+        boolean changed = rollouts.apply(update, nowTicks);
         if (!rollouts.isCanary(update.build())) {
             voteGate.removeBuild(update.build());
             if (changed) {
--- a/src/main/java/laurelkeel/partition/TrafficPartition.java
+++ b/src/main/java/laurelkeel/partition/TrafficPartition.java
@@ -138,7 +138,7 @@
         enqueue(update);
         // a decider ignores updates of builds that are earlier than its own
         if (update.build() >= rolloutBuild) {
-            if (RolloutRecord.of(update).isRolledBack()) {
+            if (RolloutRecord.isRolledBack(update.phase())) {
                 announcedRollbacks.add(update.build());
             }
             if (update.phase() == RolloutPhase.RELEASED) {
--- a/src/test/java/laurelkeel/decision/RolloutStateTest.java
+++ b/src/test/java/laurelkeel/decision/RolloutStateTest.java
@@ -7,6 +7,7 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import laurelkeel.api.Event.ControlStatus;
 import laurelkeel.api.Event.RolloutPhase;
@@ -57,9 +58,29 @@
     @Test
     void updatesOfOlderBuildsAndFailedCallsAreNotCurrent() {
         announce(3, 0, 0.1, RolloutPhase.CANARY);
-        assertFalse(rollout.isCurrent(update(ControlStatus.OK, 2, 2, 1, RolloutPhase.RELEASED)));
-        assertFalse(rollout.isCurrent(update(ControlStatus.STALE, 3, 1, 0.5, RolloutPhase.CANARY)));
-        assertTrue(rollout.isCurrent(update(ControlStatus.OK, 3, 1, 0.5, RolloutPhase.CANARY)));
+        assertFalse(rollout.isCurrent(update(ControlStatus.OK, 2, 2, 1, RolloutPhase.RELEASED), NOW_TICKS));
+        assertFalse(rollout.isCurrent(update(ControlStatus.STALE, 3, 1, 0.5, RolloutPhase.CANARY), NOW_TICKS));
+        assertTrue(rollout.isCurrent(update(ControlStatus.OK, 3, 1, 0.5, RolloutPhase.CANARY), NOW_TICKS));
+    }
+
+    /** Guards against a build that is rolled back serving again because an older update arrives after a newer one. */
+    @Test
+    void anUpdateToAnEarlierPhaseIsNotCurrentUnlessTheRolloutBeginsAnew() {
+        List<RolloutPhase> phases = List.of(
+                RolloutPhase.CANARY, RolloutPhase.RELEASED, RolloutPhase.ROLLING_BACK, RolloutPhase.ROLLED_BACK);
+        long delayedTicks = NOW_TICKS + 4 * SECOND;
+        for (RolloutPhase known : phases) {
+            announce(2, 1, 0, known);
+            for (RolloutPhase next : phases) {
+                RolloutUpdate update = update(ControlStatus.OK, 2, 1, 1, next);
+                boolean isEarlier = phases.indexOf(next) < phases.indexOf(known);
+                assertEquals(!isEarlier, rollout.isCurrent(update, delayedTicks), known + " " + next);
+                assertTrue(rollout.isCurrent(update, NOW_TICKS + 10 * SECOND), "it is one second old");
+            }
+        }
+        RolloutUpdate lowerStage = update(ControlStatus.OK, 3, 0, 0.1, RolloutPhase.CANARY);
+        announce(3, 1, 0.5, RolloutPhase.CANARY);
+        assertTrue(rollout.isCurrent(lowerStage, delayedTicks), "a lower cap applies as soon as it is announced");
     }
 
     @Test
--- a/src/test/java/laurelkeel/partition/BaselineSelectorTest.java
+++ b/src/test/java/laurelkeel/partition/BaselineSelectorTest.java
@@ -27,8 +27,8 @@
 
     @Test
     void theReleasedBuildIsTheBaseline() {
-        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED));
-        rollouts.apply(update(2, 0, 0.1, RolloutPhase.CANARY));
+        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED), 0);
+        rollouts.apply(update(2, 0, 0.1, RolloutPhase.CANARY), 0);
         addEndpoints(1, 1);
         addEndpoints(2, 9);
         assertEquals(1, selector.baselineFor(2));
@@ -38,7 +38,7 @@
     @Test
     void theLargestBuildWithoutRolloutIsTheBaselineIfNoReleaseIsKnown() {
         assertEquals(ConcurrentRollouts.NO_BUILD, selector.baselineFor(2));
-        rollouts.apply(update(3, 0, 0.1, RolloutPhase.CANARY));
+        rollouts.apply(update(3, 0, 0.1, RolloutPhase.CANARY), 0);
         addEndpoints(1, 2);
         addEndpoints(2, 3);
         addEndpoints(3, 9);
@@ -47,21 +47,21 @@
 
     @Test
     void aCanaryThatMayReceiveAllRequestsReplacesABaselineOfHalfItsWeight() {
-        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED));
-        rollouts.apply(update(2, 1, 1, RolloutPhase.CANARY));
+        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED), 0);
+        rollouts.apply(update(2, 1, 1, RolloutPhase.CANARY), 0);
         addEndpoints(1, 3);
         addEndpoints(2, 5);
         assertEquals(1, selector.baselineFor(3));
         addEndpoints(2, 6);
         assertEquals(2, selector.baselineFor(3));
         assertEquals(1, selector.baselineFor(2), "a canary is not the baseline of its own rollout");
-        rollouts.apply(update(2, 0, 1, RolloutPhase.CANARY));
+        rollouts.apply(update(2, 0, 1, RolloutPhase.CANARY), 0);
         assertEquals(1, selector.baselineFor(3), "a canary in a guarded stage does not receive all kinds of requests");
     }
 
     @Test
     void theBaselineIsNotBelowTheMinimum() {
-        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED));
+        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED), 0);
         rollouts.raiseMinimumBaseline(2);
         assertEquals(2, selector.baselineFor(3));
     }
--- a/src/test/java/laurelkeel/partition/BuildVisibilityTest.java
+++ b/src/test/java/laurelkeel/partition/BuildVisibilityTest.java
@@ -29,7 +29,7 @@
 
     @Test
     void allBuildsExceptUnknownRollbacksAreVisibleToAPartitionThatChoosesItsBaseline() {
-        rollouts.apply(update(3, 0, 0, RolloutPhase.ROLLED_BACK));
+        rollouts.apply(update(3, 0, 0, RolloutPhase.ROLLED_BACK), 0);
         assertTrue(visibility.isVisible(partition, endpoint("a", 1)));
         assertFalse(visibility.isVisible(partition, endpoint("c", 3)));
         assertFalse(visibility.isEveryBuildVisible(partition));
--- a/src/test/java/laurelkeel/partition/ConcurrentRolloutsTest.java
+++ b/src/test/java/laurelkeel/partition/ConcurrentRolloutsTest.java
@@ -20,14 +20,14 @@
     }
 
     private boolean apply(int build, RolloutPhase phase) {
-        return rollouts.apply(update(build, 0, 0.3, phase));
+        return rollouts.apply(update(build, 0, 0.3, phase), 0);
     }
 
     @Test
     void anUpdateThatRepeatsTheStateChangesNothing() {
         assertTrue(apply(2, RolloutPhase.CANARY));
         assertFalse(apply(2, RolloutPhase.CANARY));
-        assertTrue(rollouts.apply(update(2, 1, 0.3, RolloutPhase.CANARY)));
+        assertTrue(rollouts.apply(update(2, 1, 0.3, RolloutPhase.CANARY), 0));
     }
 
     @Test
--- a/src/test/java/laurelkeel/partition/PartitionManagerTest.java
+++ b/src/test/java/laurelkeel/partition/PartitionManagerTest.java
@@ -37,7 +37,7 @@
             new PartitionManager(partitions, rollouts, endpoints, 0, MAX_OPEN_PARTITIONS);
 
     private void apply(RolloutUpdate update) {
-        manager.onRolloutUpdate(update, rollouts.apply(update));
+        manager.onRolloutUpdate(update, rollouts.apply(update, 0));
         runPartitions();
     }
 
--- a/src/test/java/laurelkeel/partition/PartitionedDeciderTest.java
+++ b/src/test/java/laurelkeel/partition/PartitionedDeciderTest.java
@@ -18,6 +18,7 @@
 import laurelkeel.api.Event.EndpointListKind;
 import laurelkeel.api.Event.EndpointState;
 import laurelkeel.api.Event.RolloutPhase;
+import laurelkeel.api.Event.RolloutUpdate;
 import laurelkeel.api.LoadReport;
 import laurelkeel.bench.DecisionStreams;
 import laurelkeel.decision.RoutingDecider;
@@ -121,6 +122,23 @@
         assertEquals(List.of(), simulation.violations);
     }
 
+    /** Guards against a build that is rolled back serving again because the reply to a vote arrives after the news of it. */
+    @Test
+    void aReplyThatWasOvertakenPutsNoBuildBackOnTrial() {
+        for (int build = 2; build <= 3; build++) {
+            RolloutSimulation simulation = RolloutSimulation.withTwoCanaries(7);
+            simulation.runTraffic(4 * SECOND, 5);
+            RolloutUpdate reply =
+                    new RolloutUpdate(ControlStatus.OK, 0, 0.1, 4 * SECOND, RolloutPhase.CANARY, build, true);
+            simulation.updateRollout(build, 0, RolloutPhase.ROLLING_BACK);
+            int attemptsBefore = simulation.attemptsAt(build);
+            simulation.decider.decide(simulation.nowTicks, List.of(reply));
+            simulation.runTraffic(4 * SECOND, 5);
+            assertEquals(attemptsBefore, simulation.attemptsAt(build));
+            assertEquals(List.of(), simulation.violations);
+        }
+    }
+
     @Test
     void partitionsTogetherDoNotOverloadAnEndpointThatIsWarmingUp() {
         RolloutSimulation simulation = RolloutSimulation.started(false, 0, 7);
--- a/src/test/java/laurelkeel/partition/RolloutSimulation.java
+++ b/src/test/java/laurelkeel/partition/RolloutSimulation.java
@@ -174,9 +174,6 @@
     void updateRollout(int build, int stage, RolloutPhase phase) {
         RolloutUpdate update = rolloutUpdate(build, stage, phase, false);
         rollouts.put(build, update);
-        // the answer to a vote contains the rollout's state at the time when it arrives
-        RolloutUpdate answer = rolloutUpdate(build, stage, phase, true);
-        dueEvents.values().forEach(events -> events.replaceAll(event -> isUpdateOf(build, event) ? answer : event));
         if (phase == RolloutPhase.RELEASED) {
             rollouts.headMap(build).clear();
         }
@@ -186,10 +183,6 @@
         decide(List.of(update));
     }
 
-    private static boolean isUpdateOf(int build, Event event) {
-        return event instanceof RolloutUpdate update && update.build() == build;
-    }
-
     private RolloutUpdate rolloutUpdate(int build, int stage, RolloutPhase phase, boolean answersVote) {
         double cap =
                 switch (phase) {
@@ -288,6 +281,7 @@
         } else if (action instanceof Action.CastVote vote) {
             votes.add(vote);
             RolloutUpdate rollout = rollouts.get(vote.build());
+            // contains the rollout's state at the time of the vote, which may have changed when it arrives
             schedule(nowTicks + 50 * MILLISECOND, rolloutUpdate(vote.build(), rollout.stage(), rollout.phase(), true));
         } else if (action instanceof Action.StartTimer timer) {
             schedule(Math.max(nowTicks + 1, timer.dueAtTicks()), new Event.TimerFired(timer.timerId()));
--- a/src/test/java/laurelkeel/partition/StickyKeyBindingsTest.java
+++ b/src/test/java/laurelkeel/partition/StickyKeyBindingsTest.java
@@ -20,9 +20,9 @@
 
     @BeforeEach
     void startRollouts() {
-        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED));
-        rollouts.apply(update(2, 0, 0.1, RolloutPhase.CANARY));
-        rollouts.apply(update(3, 0, 0.1, RolloutPhase.CANARY));
+        rollouts.apply(update(1, 0, 1, RolloutPhase.RELEASED), 0);
+        rollouts.apply(update(2, 0, 0.1, RolloutPhase.CANARY), 0);
+        rollouts.apply(update(3, 0, 0.1, RolloutPhase.CANARY), 0);
     }
 
     private void serve(int build, int partitionId) {
@@ -72,7 +72,7 @@
     @Test
     void aRollbackUnbindsTheKeys() {
         serve(3, ONE_PARTITION);
-        rollouts.apply(update(3, 0, 0, RolloutPhase.ROLLING_BACK));
+        rollouts.apply(update(3, 0, 0, RolloutPhase.ROLLING_BACK), 0);
         assertFalse(bindings.isServedByLaterBuild(KEY, 2, OTHER_PARTITION, true));
         bindings.removeEndedRollouts();
         assertEquals(0, bindings.size());
--- a/src/test/java/laurelkeel/partition/TrafficPartitionTest.java
+++ b/src/test/java/laurelkeel/partition/TrafficPartitionTest.java
@@ -53,7 +53,7 @@
 
     @Test
     void aCapIsAnnouncedOnlyIfTheDeciderAppliesAnother() {
-        RolloutRecord rollout = RolloutRecord.of(update(2, 0, 0.1, RolloutPhase.CANARY));
+        RolloutRecord rollout = RolloutRecord.of(update(2, 0, 0.1, RolloutPhase.CANARY), null, 0);
         partition.announceCap(rollout, 0.1);
         assertFalse(partition.hasPendingEvents(), "the update contained this cap");
         partition.announceCap(rollout, 0.2);
--- a/src/test/java/laurelkeel/partition/VoteGateTest.java
+++ b/src/test/java/laurelkeel/partition/VoteGateTest.java
@@ -68,8 +68,8 @@
 
     @Test
     void votesToRollBackACanaryThatIsGuiltyOrSetAsideAreCastAndRenewed() {
-        rollouts.apply(update(2, 1, 0.1, RolloutPhase.CANARY));
-        rollouts.apply(update(3, 0, 0.1, RolloutPhase.CANARY));
+        rollouts.apply(update(2, 1, 0.1, RolloutPhase.CANARY), 0);
+        rollouts.apply(update(3, 0, 0.1, RolloutPhase.CANARY), 0);
         gate.setAttribution(2, Attribution.GUILTY);
         gate.setAttribution(3, Attribution.SET_ASIDE);
         assertEquals(
@@ -77,14 +77,14 @@
                 rollBackVotes(0));
         assertEquals(List.of(), rollBackVotes(VOTE_LIFETIME_TICKS * 6 / 10 - 1));
         assertEquals(2, rollBackVotes(VOTE_LIFETIME_TICKS * 6 / 10).size());
-        rollouts.apply(update(2, 1, 0, RolloutPhase.ROLLING_BACK));
-        rollouts.apply(update(3, 0, 0, RolloutPhase.ROLLED_BACK));
+        rollouts.apply(update(2, 1, 0, RolloutPhase.ROLLING_BACK), 0);
+        rollouts.apply(update(3, 0, 0, RolloutPhase.ROLLED_BACK), 0);
         assertEquals(List.of(), rollBackVotes(VOTE_LIFETIME_TICKS * 2));
     }
 
     @Test
     void onlyTheFirstVoteIsLogged() {
-        rollouts.apply(update(2, 0, 0.1, RolloutPhase.CANARY));
+        rollouts.apply(update(2, 0, 0.1, RolloutPhase.CANARY), 0);
         gate.setAttribution(2, Attribution.GUILTY);
         assertEquals(
                 List.of(
