Refuse numbers that are such only by the notation of Java's literals

The same in every field that the JDK's parsers read: +4 as an octet or a port, concurrent=NaN in a load report of `front`, settings, seeds.

Cause: Double.parseDouble and Integer.parseInt take more than decimal notation (suffixes, hexadecimal, NaN, a plus sign, digits of other scripts, white space).

The digits of Content-Length, chunk sizes and status lines were checked before.

--- a/src/main/java/laurelkeel/cli/SeedRange.java
+++ b/src/main/java/laurelkeel/cli/SeedRange.java
@@ -1,6 +1,7 @@
 package laurelkeel.cli;
 
 import java.util.stream.LongStream;
+import laurelkeel.text.DecimalNumbers;
 
 /**
  * A range of seeds, both ends included.
@@ -16,11 +17,12 @@
     static SeedRange parse(String text) {
         int separator = text.indexOf('-');
         if (separator < 0) {
-            long seed = Long.parseLong(text);
+            long seed = DecimalNumbers.parseLong(text);
             return new SeedRange(seed, seed);
         }
         return new SeedRange(
-                Long.parseLong(text.substring(0, separator)), Long.parseLong(text.substring(separator + 1)));
+                DecimalNumbers.parseLong(text.substring(0, separator)),
+                DecimalNumbers.parseLong(text.substring(separator + 1)));
     }
 
     boolean isEmpty() {
--- a/src/main/java/laurelkeel/config/IniSection.java
+++ b/src/main/java/laurelkeel/config/IniSection.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Function;
+import laurelkeel.text.DecimalNumbers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -147,7 +148,7 @@
     /** Reads a whole number from {@code min} to {@code max}. */
     public long longValue(String key, @Nullable String defaultText, long min, long max) {
         return read(key, defaultText, min, "a whole number from " + min + " to " + max, text -> {
-            long value = Long.parseLong(text);
+            long value = DecimalNumbers.parseLong(text);
             return value < min || value > max ? null : value;
         });
     }
@@ -160,7 +161,7 @@
     /** Reads a number from {@code min} to {@code max}. */
     public double doubleValue(String key, @Nullable String defaultText, double min, double max) {
         return read(key, defaultText, min, "a number from " + min + " to " + max, text -> {
-            double value = Double.parseDouble(text);
+            double value = DecimalNumbers.parse(text);
             return value >= min && value <= max ? value : null;
         });
     }
@@ -244,7 +245,7 @@
         return read(key, defaultText, List.of(), form, text -> {
             List<Double> numbers = new ArrayList<>();
             for (String part : splitAtCommas(text)) {
-                double number = Double.parseDouble(part.strip());
+                double number = DecimalNumbers.parse(part.strip());
                 if (!(number >= min && number <= max)) {
                     return null;
                 }
@@ -294,7 +295,7 @@
         if (colon < 1) {
             return null;
         }
-        int port = Integer.parseInt(text.substring(colon + 1));
+        int port = DecimalNumbers.parseInt(text.substring(colon + 1));
         return port < 0 || port > MAX_PORT ? null : new InetSocketAddress(text.substring(0, colon), port);
     }
 
--- a/src/main/java/laurelkeel/config/Quantities.java
+++ b/src/main/java/laurelkeel/config/Quantities.java
@@ -1,6 +1,7 @@
 package laurelkeel.config;
 
 import java.util.Map;
+import laurelkeel.text.DecimalNumbers;
 
 /** Parses numbers with a unit, for example 2.5 s or 64 KiB. */
 final class Quantities {
@@ -43,7 +44,7 @@
         if (unit == null || numberEnd == 0) {
             throw new NumberFormatException(text);
         }
-        return (long) Math.floor(Double.parseDouble(text.substring(0, numberEnd)) * unit + ROUNDING_ERROR);
+        return (long) Math.floor(DecimalNumbers.parse(text.substring(0, numberEnd)) * unit + ROUNDING_ERROR);
     }
 
     private static boolean isPartOfNumber(char character) {
--- a/src/main/java/laurelkeel/front/FrontSettingsReader.java
+++ b/src/main/java/laurelkeel/front/FrontSettingsReader.java
@@ -11,6 +11,7 @@
 import laurelkeel.config.IniFile;
 import laurelkeel.config.IniSection;
 import laurelkeel.config.InvalidSettingsException;
+import laurelkeel.text.DecimalNumbers;
 import org.jspecify.annotations.Nullable;
 
 /** Reads the INI file of one standalone front node. Keys, defaults and bounds: docs/front.md. */
@@ -113,7 +114,7 @@
         Map<Integer, InetSocketAddress> peers = new LinkedHashMap<>();
         for (String key : section.keys()) {
             if (key.matches(NODE_INDEX_PATTERN)) {
-                peers.put(Integer.parseInt(key), section.address(key, REQUIRED));
+                peers.put(DecimalNumbers.parseInt(key), section.address(key, REQUIRED));
             } else {
                 section.addError(key, "is not the number of a front node; write the entry as '1 = 127.0.0.1:9101'");
             }
--- a/src/main/java/laurelkeel/front/ingress/ClientRequest.java
+++ b/src/main/java/laurelkeel/front/ingress/ClientRequest.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Set;
 import java.util.function.IntToLongFunction;
+import laurelkeel.text.DecimalNumbers;
 import laurelkeel.wire.ByteBudget;
 import laurelkeel.wire.ForwardedMessage;
 import laurelkeel.wire.HeaderNames;
@@ -121,7 +122,7 @@
             return absent;
         }
         try {
-            double millis = Double.parseDouble(value);
+            double millis = DecimalNumbers.parse(value);
             if (millis >= 0 && millis < MAX_MILLIS) {
                 return millis;
             }
--- a/src/main/java/laurelkeel/front/upstream/EndpointResponse.java
+++ b/src/main/java/laurelkeel/front/upstream/EndpointResponse.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import laurelkeel.api.Event.AttemptOutcome;
 import laurelkeel.api.LoadReport;
+import laurelkeel.text.DecimalNumbers;
 import laurelkeel.wire.ByteBudget;
 import laurelkeel.wire.ForwardedMessage;
 import laurelkeel.wire.HeaderNames;
@@ -61,7 +62,7 @@
                 if (equals > 0) {
                     values.put(
                             pair.substring(0, equals).strip(),
-                            Double.parseDouble(pair.substring(equals + 1).strip()));
+                            DecimalNumbers.parse(pair.substring(equals + 1).strip()));
                 }
             } catch (NumberFormatException ignored) {
                 // skip a malformed value and use the others
--- a/src/main/java/laurelkeel/options/OptionReader.java
+++ b/src/main/java/laurelkeel/options/OptionReader.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import laurelkeel.text.DecimalNumbers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,7 +28,7 @@
     }
 
     double number(String path) {
-        return parse(path, "0", "number", Numbers::parseFinite);
+        return parse(path, "0", "number", DecimalNumbers::parse);
     }
 
     /** Reads a time in milliseconds and returns it in ticks. */
@@ -36,7 +37,7 @@
     }
 
     int wholeNumber(String path) {
-        return parse(path, "0", "whole number", text -> (int) Math.round(Numbers.parseFinite(text)));
+        return parse(path, "0", "whole number", text -> (int) Math.round(DecimalNumbers.parse(text)));
     }
 
     boolean flag(String path) {
@@ -70,7 +71,7 @@
                         ? List.of()
                         : SEPARATOR
                                 .splitAsStream(text)
-                                .map(Numbers::parseFinite)
+                                .map(DecimalNumbers::parse)
                                 .toList());
     }
 
--- a/src/main/java/laurelkeel/platform/ControlServiceProtocol.java
+++ b/src/main/java/laurelkeel/platform/ControlServiceProtocol.java
@@ -17,6 +17,7 @@
 import laurelkeel.platform.ControlServiceMessage.VoteAccepted;
 import laurelkeel.platform.ControlServiceMessage.VoteRejected;
 import laurelkeel.platform.ControlServiceMessage.VoteReply;
+import laurelkeel.text.DecimalNumbers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -175,7 +176,7 @@
 
     private static int parseNonNegativeInteger(String field, String text) throws MalformedMessageException {
         try {
-            int value = Integer.parseInt(text);
+            int value = DecimalNumbers.parseInt(text);
             if (value >= 0) {
                 return value;
             }
@@ -188,8 +189,8 @@
 
     private static double parseNonNegativeNumber(String field, String text) throws MalformedMessageException {
         try {
-            double value = Double.parseDouble(text);
-            if (value >= 0 && !Double.isInfinite(value)) {
+            double value = DecimalNumbers.parse(text);
+            if (value >= 0) {
                 return value;
             }
         } catch (NumberFormatException ignored) {
--- a/src/main/java/laurelkeel/platform/DecimalSeconds.java
+++ b/src/main/java/laurelkeel/platform/DecimalSeconds.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import laurelkeel.api.Ticks;
+import laurelkeel.text.DecimalNumbers;
 
 /** Parses and formats the durations in the platform's headers, which are in decimal seconds; thread-safe. */
 final class DecimalSeconds {
@@ -14,8 +15,8 @@
     /** Parses a positive duration to whole ticks, rounded down; empty if the text is not a positive number. */
     static OptionalLong parseTicks(String text) {
         try {
-            double seconds = Double.parseDouble(text);
-            if (seconds > 0 && !Double.isInfinite(seconds)) {
+            double seconds = DecimalNumbers.parse(text);
+            if (seconds > 0) {
                 return OptionalLong.of((long) Math.floor(seconds * Ticks.PER_SECOND + ROUNDING_TOLERANCE_TICKS));
             }
         } catch (NumberFormatException ignored) {
--- a/src/main/java/laurelkeel/platform/Ipv4Addresses.java
+++ b/src/main/java/laurelkeel/platform/Ipv4Addresses.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import laurelkeel.text.DecimalNumbers;
 import org.jspecify.annotations.Nullable;
 
 /** Parses the platform's socket addresses, such as 10.0.0.4:5000; thread-safe. */
@@ -38,7 +39,7 @@
     }
 
     private static int parseUpTo(int max, String text) {
-        int value = Integer.parseInt(text);
+        int value = DecimalNumbers.parseInt(text);
         if (value < 0 || value > max) {
             throw new NumberFormatException(text + " is not between 0 and " + max);
         }
--- a/src/main/java/laurelkeel/scenario/ScenarioReader.java
+++ b/src/main/java/laurelkeel/scenario/ScenarioReader.java
@@ -21,6 +21,7 @@
 import laurelkeel.testbed.ReplacementStyle;
 import laurelkeel.testbed.RolloutPolicy;
 import laurelkeel.testbed.ServerProfile;
+import laurelkeel.text.DecimalNumbers;
 
 /** Reads a scenario's file. Not thread-safe; each instance reads once. */
 final class ScenarioReader {
@@ -124,7 +125,7 @@
         file.sectionsOfKind("build").forEach((name, section) -> {
             Map<String, Double> failureShares = readFailureShares(section);
             if (name.matches(BUILD_NUMBER)) {
-                BuildProfile build = readBuild(Integer.parseInt(name), section, failureShares);
+                BuildProfile build = readBuild(DecimalNumbers.parseInt(name), section, failureShares);
                 builds.put(build.number(), build);
             } else {
                 section.addError("work", "belongs to build '" + name + "'; a build must be a whole number");
--- a/src/main/java/laurelkeel/simulatoradapter/MessageFields.java
+++ b/src/main/java/laurelkeel/simulatoradapter/MessageFields.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import laurelkeel.api.LoadReport;
 import laurelkeel.options.Numbers;
+import laurelkeel.text.DecimalNumbers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -84,7 +85,7 @@
 
     double optionalNumber(String field, double defaultValue) {
         String value = optionalText(field);
-        return value == null ? defaultValue : parse(field, value, "finite number", Numbers::parseFinite);
+        return value == null ? defaultValue : parse(field, value, "finite number", DecimalNumbers::parse);
     }
 
     /** Reads a time, which the protocol gives in milliseconds, in ticks; 0 if it is absent. */
@@ -124,7 +125,7 @@
                 throw malformed(field, "'" + pair + "' is not a name:value pair");
             }
             String number = pair.substring(colon + 1);
-            values.put(pair.substring(0, colon), parse(field, number, "finite number", Numbers::parseFinite));
+            values.put(pair.substring(0, colon), parse(field, number, "finite number", DecimalNumbers::parse));
         }
         return new LoadReport(values);
     }
--- a/src/test/java/laurelkeel/platform/DecimalSecondsTest.java
+++ b/src/test/java/laurelkeel/platform/DecimalSecondsTest.java
@@ -19,7 +19,7 @@
 
     @Test
     void anythingButAPositiveDurationIsEmpty() {
-        for (String text : List.of("", "soon", "NaN", "0", "-1", "1e999")) {
+        for (String text : List.of("", "soon", "NaN", "0", "-1", "1e999", "1.5d", "2f", "0x1p1", "+4")) {
             assertTrue(DecimalSeconds.parseTicks(text).isEmpty(), text);
         }
     }
