--- a/src/main/java/laurelkeel/api/Settings.java
+++ b/src/main/java/laurelkeel/api/Settings.java
@@ -22,6 +22,11 @@
         Rollout rollout,
         boolean valueByWork) {
 
+    /** Returns the longest time that a client waits for an answer on any route, in ticks; 0 without routes. */
+    public long longestTimeoutTicks() {
+        return routes.stream().mapToLong(Route::timeoutTicks).max().orElse(0);
+    }
+
     /** The effect of sending a request more than once. */
     public enum Idempotency {
         /** The same as sending it once. */
--- a/src/main/java/laurelkeel/cli/ShutdownDrain.java
+++ b/src/main/java/laurelkeel/cli/ShutdownDrain.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import laurelkeel.api.Settings.Route;
 import laurelkeel.api.Ticks;
 import laurelkeel.front.FrontNode;
 import laurelkeel.front.FrontSettings;
@@ -24,11 +23,8 @@
 
     /** Returns the longest time that a request may take after a drain has begun. */
     private static long maxDrainTicks(FrontSettings settings) {
-        long longestTimeoutTicks = settings.decisionSettings().routes().stream()
-                .mapToLong(Route::timeoutTicks)
-                .max()
-                .orElse(0);
-        return longestTimeoutTicks + settings.ingress().maxDrainTicks();
+        return settings.decisionSettings().longestTimeoutTicks()
+                + settings.ingress().maxDrainTicks();
     }
 
     @Override
--- a/src/main/java/laurelkeel/front/AcceptedRequest.java
+++ b/src/main/java/laurelkeel/front/AcceptedRequest.java
@@ -27,7 +27,7 @@
      *
      * @param id unique among the requests of all incarnations of all nodes
      * @param number sequence number of the request within this incarnation, from 0
-     * @param deadlineTicks when the client stops waiting for the answer
+     * @param deadlineTicks when the client stops waiting for the answer, or this node can no longer give it
      */
     AcceptedRequest(
             String id,
--- a/src/main/java/laurelkeel/front/ConnectionSettingsReader.java
+++ b/src/main/java/laurelkeel/front/ConnectionSettingsReader.java
@@ -40,6 +40,7 @@
                 NONE,
                 NONE,
                 NONE,
+                NONE,
                 NONE);
     }
 
--- a/src/main/java/laurelkeel/front/DrainController.java
+++ b/src/main/java/laurelkeel/front/DrainController.java
@@ -1,6 +1,5 @@
 package laurelkeel.front;
 
-import laurelkeel.api.Settings;
 import laurelkeel.api.Ticks;
 import laurelkeel.eventloop.EventLoop;
 import laurelkeel.front.ingress.Ingress;
@@ -11,8 +10,8 @@
 /**
  * Shuts a front node down gracefully: active requests are answered before their deadlines, and new ones are accepted
  * only during the lame-duck period, in which clients learn that the node is shutting down. No connection is closed in
- * that period. After it idle connections are closed, and the next request on any other one is its last. Used on the
- * event loop's thread, except {@link #drain()}.
+ * that period. After it idle connections are closed, and the next request on any other one is its last. A request that
+ * arrives during the drain gets no more time than the node has. Used on the event loop's thread, except {@link #drain()}.
  */
 final class DrainController {
     private static final Logger LOG = LoggerFactory.getLogger(DrainController.class);
@@ -30,6 +29,7 @@
     private final AcceptedRequestTable requests;
     private final long maxDrainTicks;
     private final long lameDuckTicks;
+    private final long drainDeadlineTicks;
     private boolean isListening = true;
 
     DrainController(
@@ -44,6 +44,7 @@
         ingress = components.ingress();
         maxDrainTicks = settings.maxDrainTicks();
         lameDuckTicks = settings.lameDuckTicks();
+        drainDeadlineTicks = settings.drainDeadlineTicks();
     }
 
     /**
@@ -62,6 +63,9 @@
                 NodeState.DRAINING,
                 "drain requested; " + requests.size() + " active requests, " + ingress.openConnections()
                         + " client connections");
+        if (drainDeadlineTicks > 0) {
+            lifecycle.limitAnswers(loop.nowTicks() + drainDeadlineTicks);
+        }
         if (lameDuckTicks > 0) {
             loop.schedule(loop.nowTicks() + lameDuckTicks, this::stopAccepting);
         } else {
@@ -73,7 +77,8 @@
         lifecycle.startClosingConnections();
         // not on the event loop's thread, since it may have to wait for the thread that accepts connections
         components.runtime().timer().execute(this::closeListener);
-        loop.schedule(loop.nowTicks() + Math.max(longestRouteTimeoutTicks(), maxDrainTicks), loop::stop);
+        loop.schedule(
+                loop.nowTicks() + Math.max(components.settings().longestTimeoutTicks(), maxDrainTicks), loop::stop);
         if (lameDuckTicks > 0) {
             closeIdleRepeatedly();
         }
@@ -89,13 +94,6 @@
         loop.post(() -> isListening = false);
     }
 
-    private long longestRouteTimeoutTicks() {
-        return components.settings().routes().stream()
-                .mapToLong(Settings.Route::timeoutTicks)
-                .max()
-                .orElse(0);
-    }
-
     /**
      * Closes idle connections at an interval. A connection can become idle after a response that did not close it, for
      * example one that was written as the drain began.
--- a/src/main/java/laurelkeel/front/NodeLifecycle.java
+++ b/src/main/java/laurelkeel/front/NodeLifecycle.java
@@ -7,7 +7,8 @@
 
 /**
  * The state of a front node from its construction to its end. State, health and termination may be read on any thread.
- * Whether the node is closing connections or has stopped deciding is written and read on the event loop's thread only.
+ * Whether the node is closing connections or has stopped deciding, and how long it may answer, is written and read on the
+ * event loop's thread only.
  */
 final class NodeLifecycle {
     private static final Logger LOG = LoggerFactory.getLogger(NodeLifecycle.class);
@@ -18,6 +19,7 @@
     private volatile NodeState state = NodeState.CREATED;
     private boolean isClosingConnections;
     private boolean hasStoppedDeciding;
+    private long latestAnswerTicks = Long.MAX_VALUE;
 
     NodeLifecycle(int nodeIndex, String incarnation) {
         this.nodeIndex = nodeIndex;
@@ -53,6 +55,16 @@
         return isClosingConnections;
     }
 
+    /** From now on no request that is accepted may be answered later than at the given time. */
+    void limitAnswers(long latestTicks) {
+        latestAnswerTicks = latestTicks;
+    }
+
+    /** Returns the latest time at which a request that is accepted now may be answered. */
+    long latestAnswerTicks() {
+        return latestAnswerTicks;
+    }
+
     /** From now on no event reaches the decider, and requests that still arrive are rejected immediately. */
     void stopDeciding() {
         isClosingConnections = true;
--- a/src/main/java/laurelkeel/front/RequestIntake.java
+++ b/src/main/java/laurelkeel/front/RequestIntake.java
@@ -47,7 +47,7 @@
             return;
         }
         long now = loop.nowTicks();
-        long deadline = arrivedAtTicks + clientRequest.remainingTicks();
+        long deadline = Math.min(arrivedAtTicks + clientRequest.remainingTicks(), lifecycle.latestAnswerTicks());
         AcceptedRequest request = requests.create(connection, clientRequest, now, deadline);
         connection.setCurrentToken(request);
         if (request.isExpired(now)) {
--- a/src/main/java/laurelkeel/front/ingress/IngressSettings.java
+++ b/src/main/java/laurelkeel/front/ingress/IngressSettings.java
@@ -18,6 +18,8 @@
  * @param threads number of I/O threads
  * @param maxDrainTicks maximum time for which a stopping node waits for its requests in flight
  * @param lameDuckTicks time for which a stopping node continues to accept requests
+ * @param drainDeadlineTicks time from the start of a drain within which the requests that arrive in it are answered, because
+ *     the process may be killed after it; 0 for no limit
  * @param firstRequestTimeoutTicks maximum time from the opening of a connection to its first complete request; 0 to apply
  *     the idle timeout
  * @param partialRequestTimeoutTicks maximum time from the first byte of a request to its last; 0 to apply the idle timeout
@@ -37,6 +39,7 @@
         int threads,
         long maxDrainTicks,
         long lameDuckTicks,
+        long drainDeadlineTicks,
         long firstRequestTimeoutTicks,
         long partialRequestTimeoutTicks,
         long minIdleTicks) {}
--- a/src/main/java/laurelkeel/platform/FrontNodeSettings.java
+++ b/src/main/java/laurelkeel/platform/FrontNodeSettings.java
@@ -26,6 +26,12 @@
     private static final long MAX_DRAIN_TICKS = 0;
     /** After SIGTERM, new connections arrive for up to 0.4 s, and requests must be answered for 0.7 s. */
     private static final long LAME_DUCK_TICKS = 550 * Ticks.PER_MILLISECOND;
+    /** SIGKILL comes no sooner than the longest deadline, of which at most this much counts, ... */
+    private static final long MAX_DEADLINE_BEFORE_KILL_TICKS = 3 * Ticks.PER_SECOND;
+    /** ... and this much after SIGTERM. */
+    private static final long KILL_DELAY_TICKS = 700 * Ticks.PER_MILLISECOND;
+    /** For a late start of the drain, and for the answers to be written. */
+    private static final long KILL_MARGIN_TICKS = 250 * Ticks.PER_MILLISECOND;
     /** A client that sends no valid request must receive a response or a close within 3 s. */
     private static final long FIRST_REQUEST_TIMEOUT_TICKS = 2_400 * Ticks.PER_MILLISECOND;
 
@@ -61,11 +67,17 @@
                 IO_THREADS,
                 MAX_DRAIN_TICKS,
                 LAME_DUCK_TICKS,
+                drainDeadlineTicks(configuration),
                 FIRST_REQUEST_TIMEOUT_TICKS,
                 PARTIAL_REQUEST_TIMEOUT_TICKS,
                 MIN_IDLE_TICKS);
     }
 
+    private static long drainDeadlineTicks(NodeConfiguration configuration) {
+        long longestDeadlineTicks = configuration.settings().longestTimeoutTicks();
+        return Math.min(longestDeadlineTicks, MAX_DEADLINE_BEFORE_KILL_TICKS) + KILL_DELAY_TICKS - KILL_MARGIN_TICKS;
+    }
+
     private static int maxOpenRequests(NodeConfiguration configuration, SocketBudget budget) {
         int maxForSockets = budget.clientConnections() * OPEN_REQUESTS_PER_CLIENT_CONNECTION;
         int configured = configuration.socketOptions().maxOpenRequests();
--- a/src/test/java/laurelkeel/front/ingress/ConnectionCloseTest.java
+++ b/src/test/java/laurelkeel/front/ingress/ConnectionCloseTest.java
@@ -59,6 +59,7 @@
                         1,
                         0,
                         5_500,
+                        0,
                         24_000,
                         20_000,
                         21_000),
--- a/src/test/java/laurelkeel/front/ingress/RequestPipelineTest.java
+++ b/src/test/java/laurelkeel/front/ingress/RequestPipelineTest.java
@@ -42,6 +42,7 @@
                     0,
                     0,
                     0,
+                    0,
                     0),
             protocol,
             new EventLoop(() -> 0),
--- a/src/test/java/laurelkeel/platform/PlatformNodeTest.java
+++ b/src/test/java/laurelkeel/platform/PlatformNodeTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import laurelkeel.api.Event;
+import laurelkeel.api.Ticks;
 import org.junit.jupiter.api.Test;
 
 /** A node's connections: drain, idle connections, and clients that half-close their connections. */
@@ -58,6 +59,30 @@
         }
     }
 
+    /** Guards against a request that arrives late in a shutdown being cut off by SIGKILL without an answer. */
+    @Test
+    void aRequestThatArrivesDuringADrainIsAnsweredBeforeTheProcessMayBeKilled() throws Exception {
+        TestClock clock = TestClock.running();
+        try (PlatformTestBed testBed = new PlatformTestBed(128, 5_000, clock, PlatformTestBed::sendOnce)) {
+            Socket early = testBed.connectClient();
+            Socket late = testBed.connectClient();
+            send(early, getRequest("1", ""));
+            receive(testBed.endpoint.nextConnection());
+            long drainStartTicks = clock.getAsLong();
+            testBed.front.drain();
+            await("draining", () -> testBed.front.health().equals("draining"));
+            clock.advance(500 * Ticks.PER_MILLISECOND);
+            send(late, getRequest("2", ""));
+            receive(testBed.endpoint.nextConnection());
+            Event.RequestReceived received = testBed.awaitEvent(Event.RequestReceived.class, 2);
+            long killTicks = drainStartTicks + 3_700 * Ticks.PER_MILLISECOND;
+            assertTrue(received.deadlineTicks() < killTicks, received + " and SIGKILL at " + killTicks);
+            clock.advance(3_000 * Ticks.PER_MILLISECOND);
+            assertTrue(receive(late).startsWith("HTTP/1.1 50"));
+            assertEquals(1, testBed.eventsOf(Event.AttemptEnded.class).size(), "request 1 keeps its time");
+        }
+    }
+
     @Test
     void silentConnectionsNeverBlockOtherClients() throws Exception {
         try (PlatformTestBed testBed = new PlatformTestBed(128, 5000, PlatformTestBed::sendOnce)) {
