Keep departed endpoints departed when an older list is followed

Cause: an older list replaced all that later versions had shown.

Fix: DepartedEndpoints keeps the build, the start and the version for each endpoint that was listed as leaving or left, or no longer listed. A list of an earlier version does not make the same run of it active. Following older lists stays, since a restarted discovery may count from the start.

Evidence: EndpointDirectoryTest.anOlderListMakesNoDepartedEndpointActiveAgain fails without it (ACTIVE, ACTIVE for DRAINING, REMOVED); green now, with DiscoveryClientTest, RereadTest and RareMomentsTest.

--- a/src/main/java/laurelkeel/platform/EndpointDirectory.java
+++ b/src/main/java/laurelkeel/platform/EndpointDirectory.java
@@ -54,6 +54,7 @@
     private final StartTimeTranslator startTimes;
     private final Consumer<String> retiredAddresses;
     private final Map<String, Entry> entries = new HashMap<>();
+    private final DepartedEndpoints departed = new DepartedEndpoints();
     private long version = NO_VERSION;
     /** Whether a watch has delivered a list, so that all further changes from it have just happened. */
     private boolean watchDelivered;
@@ -120,12 +121,14 @@
         boolean justChanged = watchDelivered && !list.complete();
         List<Entry> listed = new ArrayList<>();
         for (DiscoveredEndpoint endpoint : list.endpoints()) {
-            listed.add(toEntry(endpoint, nowTicks, justChanged));
+            EndpointState state = departed.stateOf(endpoint, list.version());
+            listed.add(toEntry(endpoint, state, nowTicks, justChanged));
         }
         watchDelivered |= !cached;
         listed.forEach(this::put);
+        listed.forEach(entry -> recordState(entry, entry.endpoint.state(), list.version()));
         if (list.complete()) {
-            removeUnlisted(listed);
+            removeUnlisted(listed, list.version());
         }
         version = list.version();
         return new Event.EndpointListUpdate(
@@ -152,7 +155,11 @@
         staleSinceTicks = NEVER;
     }
 
-    private Entry toEntry(DiscoveredEndpoint listed, long nowTicks, boolean justChanged) {
+    private void recordState(Entry entry, EndpointState state, long listVersion) {
+        departed.record(entry.id(), entry.endpoint.build(), entry.startedAtUnixMillis, state, listVersion);
+    }
+
+    private Entry toEntry(DiscoveredEndpoint listed, EndpointState state, long nowTicks, boolean justChanged) {
         EndpointEntry endpoint = new EndpointEntry(
                 listed.id(),
                 listed.build(),
@@ -160,7 +167,7 @@
                 listed.cell(),
                 kinds.indexOf(listed.kind()),
                 listed.weight(),
-                listed.state(),
+                state,
                 startedAtTicks(listed, nowTicks, justChanged));
         // an endpoint with a new start, build or address must not reuse connections of its previous incarnation
         String key = listed.id() + "@" + listed.address() + "/" + endpoint.build() + "/" + endpoint.startedAtTicks();
@@ -196,12 +203,13 @@
         }
     }
 
-    private void removeUnlisted(List<Entry> listed) {
+    private void removeUnlisted(List<Entry> listed, long listVersion) {
         Set<String> ids = new HashSet<>();
         listed.forEach(entry -> ids.add(entry.id()));
         entries.values().removeIf(entry -> {
             boolean unlisted = !ids.contains(entry.id());
             if (unlisted) {
+                recordState(entry, EndpointState.REMOVED, listVersion);
                 retiredAddresses.accept(entry.address.key());
             }
             return unlisted;
--- a/src/test/java/laurelkeel/platform/EndpointDirectoryTest.java
+++ b/src/test/java/laurelkeel/platform/EndpointDirectoryTest.java
@@ -82,6 +82,28 @@
         assertEquals(4, directory.version());
     }
 
+    /** Guards against new requests to an endpoint that is known to be draining, because an older list is followed. */
+    @Test
+    void anOlderListMakesNoDepartedEndpointActiveAgain() throws Exception {
+        apply(list(8, true, endpoint("s-1", EndpointState.DRAINING, 1)), NOW);
+        DiscoveredEndpoint restarted = endpoint("s-3", EndpointState.ACTIVE, 2);
+        DiscoveredEndpoint first = endpoint("s-1", EndpointState.ACTIVE, 1);
+        DiscoveredEndpointList older = list(4, true, first, endpoint("s-2", EndpointState.ACTIVE, 1), restarted);
+        assertThrows(StaleEndpointListException.class, () -> apply(older, NOW));
+        assertEquals(List.of(EndpointState.DRAINING, EndpointState.REMOVED, EndpointState.ACTIVE), states(older));
+        assertEquals(List.of(EndpointState.DRAINING), states(list(7, false, first)), "still older than its departure");
+        assertEquals(List.of(EndpointState.ACTIVE), states(list(8, false, endpoint("s-1", EndpointState.ACTIVE, 2))));
+        apply(list(9, false, endpoint("s-2", EndpointState.REMOVED, 1)), LATER);
+        assertEquals(List.of(EndpointState.ACTIVE), states(list(10, true, endpoint("s-2", EndpointState.ACTIVE, 1))));
+    }
+
+    /** Applies a list after the wait for older ones, and returns the states in the event for it. */
+    private List<EndpointState> states(DiscoveredEndpointList list) throws Exception {
+        Event.EndpointListUpdate update = apply(list, LATER);
+        assertNotNull(update);
+        return update.entries().stream().map(Event.EndpointEntry::state).toList();
+    }
+
     @Test
     void aNewerListRestartsTheWaitForOlderOnes() throws Exception {
         DiscoveredEndpointList older = list(4, true);
